--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+# Targets for users and developers. `make help` lists them.
+
+BIN := bin
+PROGRAMS := $(notdir $(wildcard cmd/*))
+
+.PHONY: help build test lint run serve bench bench-quick soak clean
+
+help: ## list the targets
+	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/:/'
+
+build: ## build every program into bin/
+	@mkdir -p $(BIN)
+	go build -o $(BIN)/ ./cmd/...
+
+test: ## run all tests with the race detector
+	go test -race -timeout 20m ./...
+
+lint: ## check formatting, vet and staticcheck
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "files above need gofmt"; exit 1; }
+	go vet ./...
+	go tool staticcheck ./...
+
+clean: ## remove build results
+	rm -rf $(BIN) out
--- /dev/null
+++ b/core/purity_test.go
@@ -0,0 +1,110 @@
+package core
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// pureImports are the packages that the reducer may use. None of them performs
+// I/O, reads a clock (time functions are checked below) or starts a goroutine.
+var pureImports = map[string]bool{
+	"cmp": true, "container/heap": true, "errors": true, "fmt": true,
+	"hash/fnv": true, "math": true, "math/bits": true, "math/rand/v2": true,
+	"slices": true, "sort": true, "strconv": true, "strings": true, "time": true,
+	"maps": true, "iter": true,
+	"github.com/cespare/xxhash/v2":            true,
+	"github.com/google/btree":                 true,
+	"github.com/HdrHistogram/hdrhistogram-go": true,
+}
+
+// impureCalls are functions of the allowed packages that read a clock, a timer
+// or a global random source, or write to standard output.
+var impureCalls = map[string][]string{
+	"time": {"Now", "Since", "Until", "After", "AfterFunc", "Sleep", "NewTimer", "NewTicker", "Tick"},
+	"fmt":  {"Print", "Printf", "Println", "Scan", "Scanf", "Scanln"},
+	"rand": {"Int", "IntN", "Int64", "Int64N", "Uint64", "Uint64N", "Float64", "Perm", "Shuffle", "N", "ExpFloat64", "NormFloat64", "Uint32", "Int32", "Int32N", "Uint32N", "UintN"},
+}
+
+// TestCoreIsPure guards against a decision that depends on anything but the
+// events: replay and the separation of control state would break without notice.
+func TestCoreIsPure(t *testing.T) {
+	files, err := filepath.Glob("*.go")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("found %d files: %v", len(files), err)
+	}
+	fset := token.NewFileSet()
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(fset, name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, finding := range impurities(fset, file) {
+			t.Error(finding)
+		}
+	}
+}
+
+// TestImpuritiesAreFound guards against a purity check that finds nothing.
+func TestImpuritiesAreFound(t *testing.T) {
+	const source = `package p
+import ("time"; "sync"; "math/rand/v2")
+var c = make(chan int)
+func f() { go f(); _ = time.Now(); _ = rand.IntN(3); <-c; c <- 1; select {} }
+`
+	fset := token.NewFileSet()
+	file, err := parser.ParseFile(fset, "p.go", source, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := len(impurities(fset, file)); got != 7 {
+		t.Errorf("found %d impurities, want 7: %v", got, impurities(fset, file))
+	}
+}
+
+// impurities lists everything in file that a pure package must not have.
+func impurities(fset *token.FileSet, file *ast.File) []string {
+	var found []string
+	add := func(n ast.Node, what string) {
+		found = append(found, fset.Position(n.Pos()).String()+": "+what)
+	}
+	for _, imp := range file.Imports {
+		if path, _ := strconv.Unquote(imp.Path.Value); !pureImports[path] {
+			add(imp, "imports "+path)
+		}
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			add(n, "starts a goroutine")
+		case *ast.SelectStmt, *ast.SendStmt:
+			add(n, "uses a channel")
+		case *ast.UnaryExpr:
+			if n.Op == token.ARROW {
+				add(n, "receives from a channel")
+			}
+		case *ast.SelectorExpr:
+			if pkg, ok := n.X.(*ast.Ident); ok && isImpureCall(pkg.Name, n.Sel.Name) {
+				add(n, "calls "+pkg.Name+"."+n.Sel.Name)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+func isImpureCall(pkg, name string) bool {
+	for _, f := range impureCalls[pkg] {
+		if f == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/refusal.go
@@ -0,0 +1,61 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason is the machine-readable cause of a refusal or a retry. Each value is
+// also the label of a counter.
+type Reason string
+
+// Reasons for refusing a request or for ending a job without success.
+const (
+	ReasonUnknownTeam      Reason = "unknown_team"
+	ReasonUnknownKind      Reason = "unknown_kind"
+	ReasonUnknownJob       Reason = "unknown_job"
+	ReasonInvalid          Reason = "invalid_request"
+	ReasonTooLarge         Reason = "too_large"
+	ReasonDuplicateID      Reason = "duplicate_id"
+	ReasonNeverFits        Reason = "never_fits"
+	ReasonOverQuota        Reason = "over_quota"
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonShed             Reason = "shed"
+	ReasonStartDeadline    Reason = "start_deadline"
+	ReasonDeadline         Reason = "deadline"
+	ReasonNoCapacity       Reason = "no_capacity"
+	ReasonNoOwner          Reason = "no_owner"
+	ReasonStoreUnavailable Reason = "store_unavailable"
+	ReasonStaleEpoch       Reason = "stale_epoch"
+	ReasonConflict         Reason = "revision_conflict"
+	ReasonForbidden        Reason = "forbidden"
+	ReasonDraining         Reason = "draining"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonAttempts         Reason = "attempts_exhausted"
+	ReasonJobFault         Reason = "job_fault"
+	ReasonWorkerLost       Reason = "worker_lost"
+	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonUpstream         Reason = "upstream_failed"
+	ReasonPeer             Reason = "peer_failed"
+	ReasonPreempted        Reason = "preempted"
+	ReasonInternal         Reason = "internal"
+)
+
+// Refusal is the error given to a caller whose request was not carried out. Its
+// verdict is a promise: NotRun is said only when it is certain.
+type Refusal struct {
+	Reason     Reason
+	Verdict    Verdict
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Reason, r.Verdict, r.Message)
+}
+
+// refuse builds a Refusal with verdict NotRun.
+func refuse(reason Reason, format string, args ...any) *Refusal {
+	return &Refusal{Reason: reason, Verdict: NotRun, Message: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/core/time.go
@@ -0,0 +1,18 @@
+package core
+
+import "time"
+
+// Time is a reading of the host's clock in nanoseconds since the Unix epoch. The
+// caller derives it from the monotonic clock, so it never goes backwards within
+// one process. Only differences of readings of the same host are compared,
+// except for deadlines in journal records.
+type Time int64
+
+// Add returns t + d.
+func (t Time) Add(d time.Duration) Time { return t + Time(d) }
+
+// Sub returns t - o.
+func (t Time) Sub(o Time) time.Duration { return time.Duration(t - o) }
+
+// Before reports whether t is before o.
+func (t Time) Before(o Time) bool { return t < o }
--- /dev/null
+++ b/core/verdict.go
@@ -0,0 +1,52 @@
+package core
+
+import "fmt"
+
+// Verdict says whether a request may have run. It decides whether a retry is
+// allowed and is part of every refusal given to a caller.
+type Verdict uint8
+
+const (
+	// NotRun means that the request has surely not run and never will under
+	// the attempt it describes.
+	NotRun Verdict = iota
+	// MayHaveRun means that nobody can tell whether the request has run.
+	MayHaveRun
+	// Ran means that the request has run and its outcome is known.
+	Ran
+)
+
+var verdictNames = [...]string{"not_run", "may_have_run", "ran"}
+
+// String returns the name used in headers, logs and metrics.
+func (v Verdict) String() string {
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return fmt.Sprintf("verdict(%d)", uint8(v))
+}
+
+// MarshalText encodes the verdict by name.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText decodes a verdict name.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	i, err := indexOfName("verdict", verdictNames[:], string(text))
+	*v = Verdict(i)
+	return err
+}
+
+// Retryable reports whether another attempt is allowed after v.
+func (v Verdict) Retryable(idempotent bool) bool {
+	return v == NotRun || (v == MayHaveRun && idempotent)
+}
+
+// indexOfName finds name in names; what names the type in the error.
+func indexOfName(what string, names []string, name string) (int, error) {
+	for i, n := range names {
+		if n == name {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("%q is not a %s; allowed: %q", name, what, names)
+}
