--- /dev/null
+++ b/core/deadline.go
@@ -0,0 +1,102 @@
+package core
+
+import "time"
+
+// settleRecheck is how often a job past its deadline is looked at while it is
+// not certain what became of it.
+const settleRecheck = 2 * time.Second
+
+// tickJobs handles deadlines, delayed retries and the end of retention.
+func (r *Reducer) tickJobs() {
+	if !r.owner.active() {
+		return
+	}
+	for {
+		id, ok := r.queues.delayed.due(r.now)
+		if !ok {
+			break
+		}
+		if j := r.jobs.get(id); j != nil && !j.state.Final() && j.hasTaskIn(taskWaiting) {
+			r.requeue(j)
+		}
+	}
+	for {
+		id, ok := r.jobs.timers.due(r.now)
+		if !ok {
+			break
+		}
+		if j := r.jobs.get(id); j != nil {
+			r.onTimer(j)
+		}
+	}
+	r.tickAssigned()
+}
+
+// onTimer looks at a job whose time has come.
+func (r *Reducer) onTimer(j *job) {
+	switch {
+	case j.state.Final():
+		if r.now >= j.ended.Add(retention) {
+			r.jobs.forget(j)
+		}
+	case j.state == JobAccepting:
+		r.acceptTimedOut(j)
+	case j.state == JobQueued && !j.everStarted() && r.now >= j.startBy():
+		r.endUnstarted(j)
+	case r.now >= j.deadline():
+		r.deadlinePassed(j)
+	default:
+		r.jobs.timers.add(min(j.deadline(), max(j.startBy(), r.now.Add(settleRecheck))), j.spec.ID)
+	}
+}
+
+// acceptTimedOut answers a submit whose journal record is not durable in time.
+func (r *Reducer) acceptTimedOut(j *job) {
+	if r.dropOpenRecords(j.spec.ID) {
+		r.endUnstartedBecause(j, ReasonStoreUnavailable, "could not be made durable in time")
+		return
+	}
+	// The record was sent. A later owner may find it, so nobody can say that
+	// the job will not run.
+	ref := refuse(ReasonStoreUnavailable, "it is not known whether job %q was accepted", j.spec.ID)
+	ref.Verdict = MayHaveRun
+	for _, id := range j.submitters {
+		delete(r.jobs.waiting, id)
+		r.refuse(id, ref, j.spec.Team, j.spec.Kind)
+	}
+	j.submitters = nil
+	r.jobs.timers.add(r.now.Add(settleRecheck), j.spec.ID)
+}
+
+// deadlinePassed stops a job that has not ended in time.
+func (r *Reducer) deadlinePassed(j *job) {
+	switch {
+	case j.state == JobSettling && !j.hasTaskIn(taskUncertain):
+		// Ends once every worker has said whether it runs the job.
+	case r.onLostWorker(j):
+		ref := refuse(ReasonWorkerLost, "the worker of job %q does not answer", j.spec.ID)
+		ref.Verdict = MayHaveRun
+		r.finish(j, JobFailed, ref)
+		return
+	case !j.runsSomewhere():
+		r.endUnstarted(j)
+		return
+	default:
+		r.stopTasks(j)
+	}
+	r.jobs.timers.add(r.now.Add(settleRecheck), j.spec.ID)
+}
+
+// onLostWorker reports whether an uncertain task of j is on a lost worker.
+func (r *Reducer) onLostWorker(j *job) bool {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != taskUncertain {
+			continue
+		}
+		if w := r.fleet.get(t.worker); w == nil || w.lost {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/documents.go
@@ -0,0 +1,290 @@
+package core
+
+import "time"
+
+const (
+	// listPeriod is how often each host reads all documents from the store.
+	listPeriod = 30 * time.Second
+	// listRetry is the wait after a read that failed.
+	listRetry = time.Second
+	// watchRetry is the wait after a watch that failed.
+	watchRetry = 500 * time.Millisecond
+	// confirmAfter is how long a host that hears no peer waits for their
+	// documents before it trusts the store's answer alone.
+	confirmAfter = 3 * time.Second
+	// maxRecent bounds the versions kept for hosts whose digest differs.
+	maxRecent = 64
+	// maxHistory is how many earlier versions a document's value holds.
+	maxHistory = 16
+	// documentPrefix is the prefix of the documents' keys.
+	documentPrefix = "documents/"
+)
+
+// edit is an operator's edit that is on its way to the store.
+type edit struct {
+	request RequestID
+	version DocumentVersion
+	base    Revision
+	// history is set for a request for the versions of a document.
+	history bool
+}
+
+func documentKey(t TeamName) string { return documentPrefix + string(t) }
+
+// tickDocuments reads and watches the documents in the store. Only the owner
+// watches: one waiting call for the data centre, whatever the number of hosts.
+func (r *Reducer) tickDocuments() {
+	d := &r.docs
+	if d.started == 0 {
+		d.started = r.now
+	}
+	if r.now >= d.nextList {
+		d.nextList = r.now.Add(r.jitter(listPeriod))
+		r.emit(ListValues{Op: r.op(PurposeDocumentList, documentPrefix), Prefix: documentPrefix})
+	}
+	if r.owner.role == roleOwner && !d.watching && d.listed && r.now >= d.nextWatch {
+		d.watching = true
+		r.emit(WatchValues{
+			Op: r.op(PurposeDocumentWatch, documentPrefix), Prefix: documentPrefix, Since: d.watched,
+		})
+	}
+	if !d.confirmed && d.listed && r.now.Sub(d.started) > confirmAfter && r.now.Sub(r.peers.heard) > confirmAfter {
+		d.confirmed = true
+	}
+}
+
+// Ready reports whether the documents in force are surely not older than those
+// that this host's peers have in force.
+func (r *Reducer) ready() bool { return r.docs.listed && r.docs.confirmed }
+
+// onDocumentAnswer handles the store's answers about documents.
+func (r *Reducer) onDocumentAnswer(a StoreAnswered) {
+	d := &r.docs
+	switch a.Op.Purpose {
+	case PurposeDocumentList:
+		if a.Outcome != StoreOK && a.Outcome != StoreNotFound {
+			d.nextList = min(d.nextList, r.now.Add(r.jitter(listRetry)))
+			return
+		}
+		r.applyItems(a.Items)
+		d.watched = max(d.watched, a.Revision)
+		d.listed = true
+	case PurposeDocumentWatch:
+		d.watching = false
+		if a.Outcome != StoreOK {
+			d.nextWatch = r.now.Add(r.jitter(watchRetry))
+			return
+		}
+		r.applyItems(a.Items)
+		d.watched = max(d.watched, a.Revision)
+	default:
+		r.onEditAnswer(a)
+	}
+}
+
+// applyItems puts documents of the store in force.
+func (r *Reducer) applyItems(items []StoreItem) {
+	var versions []DocumentVersion
+	for _, item := range items {
+		if rec, ok := item.Value.(DocumentRecord); ok {
+			v := rec.Current
+			v.Revision = Revision(item.Revision)
+			versions = append(versions, v)
+		}
+	}
+	r.applyVersions(versions)
+}
+
+// applyVersions puts newer versions in force, and the owner passes them on to
+// the hosts of the data centre.
+func (r *Reducer) applyVersions(versions []DocumentVersion) {
+	var fresh []DocumentVersion
+	for _, v := range versions {
+		if !r.docs.apply(v) {
+			continue
+		}
+		fresh = append(fresh, v)
+		r.count(MetricDocuments, "", v.Document.Team, "")
+		r.emit(Log{Level: LogInfo, Message: "document in force", Team: v.Document.Team, Revision: v.Revision})
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	r.onKindsChanged()
+	r.docs.recent = append(r.docs.recent, fresh...)
+	if n := len(r.docs.recent); n > maxRecent {
+		r.docs.recent = append([]DocumentVersion(nil), r.docs.recent[n-maxRecent:]...)
+	}
+	if r.owner.active() {
+		r.sendToPeers(fresh)
+	}
+}
+
+// sendToPeers sends versions to the other hosts of the data centre.
+func (r *Reducer) sendToPeers(versions []DocumentVersion) {
+	for _, p := range r.peers.list {
+		r.emit(SendDocuments{Address: p.host.Address, Versions: versions})
+	}
+}
+
+// onDocumentsRead takes over documents that a peer sent.
+func (r *Reducer) onDocumentsRead(d DocumentsRead) {
+	r.applyVersions(d.Versions)
+	if r.peers.get(d.From) != nil {
+		r.docs.confirmed = true
+	}
+}
+
+// exchangeDocuments answers a host that needs all documents, and sends recent
+// ones to a host whose digest differs.
+func (r *Reducer) exchangeDocuments(p *peer, hb *Heartbeat) {
+	switch {
+	case hb.NeedDocuments && r.docs.listed:
+		r.emit(SendDocuments{Address: p.host.Address, Versions: r.docs.versions()})
+	case r.owner.active() && hb.DocumentDigest != r.docs.digest() && len(r.docs.recent) > 0:
+		r.emit(SendDocuments{Address: p.host.Address, Versions: r.docs.recent})
+	}
+}
+
+// onDocumentProposed reads the document in the store, which holds its history.
+func (r *Reducer) onDocumentProposed(p DocumentProposed) {
+	e := &edit{
+		request: p.Request, base: p.Base,
+		version: DocumentVersion{Document: p.Document, Author: p.Author, Time: r.now},
+	}
+	r.startEdit(e, PurposeDocumentRead, p.Document.Team)
+}
+
+// onHistoryRequested reads the versions of a document.
+func (r *Reducer) onHistoryRequested(h HistoryRequested) {
+	r.startEdit(&edit{request: h.Request, history: true}, PurposeDocumentHistory, h.Team)
+}
+
+func (r *Reducer) startEdit(e *edit, p Purpose, t TeamName) {
+	op := r.op(p, documentKey(t))
+	r.docs.edits[op.Number] = e
+	r.emit(GetValue{Op: op, Key: op.Key})
+}
+
+// onEditAnswer advances an edit.
+func (r *Reducer) onEditAnswer(a StoreAnswered) {
+	e := r.docs.edits[a.Op.Number]
+	delete(r.docs.edits, a.Op.Number)
+	if e == nil {
+		return
+	}
+	switch a.Op.Purpose {
+	case PurposeDocumentHistory:
+		r.answerHistory(e, a)
+	case PurposeDocumentRead:
+		r.writeEdit(e, a)
+	case PurposeDocumentWrite:
+		r.onEditWritten(e, a)
+	case PurposeDocumentReadBack:
+		r.onEditReadBack(e, a)
+	}
+}
+
+// currentOf returns the record and version in an answer, if there is one.
+func currentOf(a StoreAnswered) (DocumentRecord, bool) {
+	if a.Outcome != StoreOK || len(a.Items) == 0 {
+		return DocumentRecord{}, false
+	}
+	rec, ok := a.Items[0].Value.(DocumentRecord)
+	rec.Current.Revision = Revision(a.Items[0].Revision)
+	return rec, ok
+}
+
+// answerHistory answers with the versions, newest first.
+func (r *Reducer) answerHistory(e *edit, a StoreAnswered) {
+	rec, ok := currentOf(a)
+	if !ok {
+		r.refuse(e.request, storeRefusal(a.Outcome, "the document"), "", "")
+		return
+	}
+	r.emit(Reply{Request: e.request, History: append([]DocumentVersion{rec.Current}, rec.History...)})
+}
+
+// storeRefusal explains why a read gave nothing.
+func storeRefusal(o StoreOutcome, what string) *Refusal {
+	if o == StoreNotFound {
+		return refuse(ReasonUnknownTeam, "%s does not exist", what)
+	}
+	ref := refuse(ReasonStoreUnavailable, "the store cannot be reached")
+	ref.RetryAfter = time.Second
+	return ref
+}
+
+// writeEdit writes the edit if the operator's base is what the store holds.
+func (r *Reducer) writeEdit(e *edit, a StoreAnswered) {
+	if a.Outcome != StoreOK && a.Outcome != StoreNotFound {
+		r.refuse(e.request, storeRefusal(a.Outcome, "the document"), e.version.Document.Team, "")
+		return
+	}
+	rec, _ := currentOf(a)
+	if rec.Current.Revision != e.base {
+		r.answerConflict(e, rec)
+		return
+	}
+	next := DocumentRecord{Current: e.version}
+	if e.base != 0 {
+		next.History = append([]DocumentVersion{rec.Current}, rec.History...)
+	}
+	next.History = next.History[:min(len(next.History), maxHistory)]
+	op := r.op(PurposeDocumentWrite, a.Op.Key)
+	r.docs.edits[op.Number] = e
+	r.emit(PutValue{Op: op, Key: op.Key, Value: next, IfRevision: int64(e.base)})
+}
+
+// onEditWritten answers the operator, or finds out what became of the write.
+func (r *Reducer) onEditWritten(e *edit, a StoreAnswered) {
+	switch a.Outcome {
+	case StoreOK:
+		r.editAccepted(e, Revision(a.Revision))
+	case StoreNotSent:
+		r.refuse(e.request, storeRefusal(a.Outcome, ""), e.version.Document.Team, "")
+	default:
+		op := r.op(PurposeDocumentReadBack, a.Op.Key)
+		r.docs.edits[op.Number] = e
+		r.emit(GetValue{Op: op, Key: op.Key})
+	}
+}
+
+// onEditReadBack compares what the store holds with the edit.
+func (r *Reducer) onEditReadBack(e *edit, a StoreAnswered) {
+	rec, ok := currentOf(a)
+	switch {
+	case ok && rec.Current.Author == e.version.Author && rec.Current.Time == e.version.Time:
+		r.editAccepted(e, rec.Current.Revision)
+	case ok && rec.Current.Revision != e.base:
+		r.answerConflict(e, rec)
+	default:
+		ref := storeRefusal(StoreInDoubt, "")
+		ref.Verdict = MayHaveRun
+		ref.Message = "it is not known whether the edit was accepted; read the document again"
+		r.refuse(e.request, ref, e.version.Document.Team, "")
+	}
+}
+
+// editAccepted puts an accepted edit in force and passes it on at once, without
+// waiting for the watches.
+func (r *Reducer) editAccepted(e *edit, rev Revision) {
+	v := e.version
+	v.Revision = rev
+	active := r.owner.active()
+	r.applyVersions([]DocumentVersion{v})
+	if !active {
+		r.sendToPeers([]DocumentVersion{v})
+	}
+	for _, m := range r.peers.remotes {
+		r.emit(SendDocuments{Address: m.summary.Address, Versions: []DocumentVersion{v}})
+	}
+	r.emit(Reply{Request: e.request, Applied: &v})
+}
+
+// answerConflict shows the operator the version that won.
+func (r *Reducer) answerConflict(e *edit, rec DocumentRecord) {
+	r.count(MetricRefusals, ReasonConflict, e.version.Document.Team, "")
+	won := rec.Current
+	r.emit(Reply{Request: e.request, Conflict: &won})
+}
--- a/core/effect.go
+++ b/core/effect.go
@@ -22,6 +22,8 @@
 		Applied *DocumentVersion
 		// Conflict is the version in force when an edit lost a race.
 		Conflict *DocumentVersion
+		// History lists the versions of a document, newest first.
+		History []DocumentVersion
 	}
 	// Forward passes an open request on to another host.
 	Forward struct {
@@ -117,8 +119,9 @@
 
 	// SetGrants replaces the grants of the traffic side of this host.
 	SetGrants struct {
-		Epoch  Epoch
-		Grants []Grant
+		Version uint64
+		Epoch   Epoch
+		Grants  []Grant
 		// Expires is when the grants end unless they are renewed.
 		Expires Time
 		// Kinds gives the traffic side the rules of interactive kinds.
@@ -135,10 +138,10 @@
 		Address string
 		Summary Summary
 	}
-	// SendDocument passes an accepted document on.
-	SendDocument struct {
-		Address string
-		Version DocumentVersion
+	// SendDocuments passes accepted documents on.
+	SendDocuments struct {
+		Address  string
+		Versions []DocumentVersion
 	}
 
 	// Count adds to a counter.
@@ -159,7 +162,11 @@
 		Host    HostID
 		Epoch   Epoch
 		Reason  Reason
+		// Revision is that of a document, or zero.
+		Revision Revision
 	}
+	// Ready says whether this host can serve requests.
+	Ready struct{ Ready bool }
 	// Stopped says that a planned stop is complete as far as control state
 	// is concerned.
 	Stopped struct{}
@@ -205,6 +212,7 @@
 	MetricDocuments   Metric = "banyanrun_documents_applied_total"
 	MetricWorkerLost  Metric = "banyanrun_workers_lost_total"
 	MetricJournal     Metric = "banyanrun_journal_groups_total"
+	MetricForwarded   Metric = "banyanrun_forwarded_total"
 )
 
 // LogLevel is the severity of a log line.
@@ -235,7 +243,8 @@
 func (SetGrants) effect()     {}
 func (SendHeartbeat) effect() {}
 func (SendSummary) effect()   {}
-func (SendDocument) effect()  {}
+func (SendDocuments) effect() {}
 func (Count) effect()         {}
 func (Log) effect()           {}
+func (Ready) effect()         {}
 func (Stopped) effect()       {}
--- /dev/null
+++ b/core/estimate.go
@@ -0,0 +1,106 @@
+package core
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// longestRunTime is the greatest run time that the histograms tell apart.
+	longestRunTime = 48 * time.Hour
+	// estimateDigits is the precision of the histograms. One digit keeps a
+	// histogram near 4 KB.
+	estimateDigits = 1
+	// leastSamples is how many outcomes an estimate needs before it replaces
+	// the declared figure.
+	leastSamples = 8
+)
+
+// kindEstimate learns the true figures of a kind. They order work and bound
+// admission; they never let a worker hold more than it has.
+type kindEstimate struct {
+	runTime *hdrhistogram.Histogram
+	// usedShare is a moving average of measured over declared processors.
+	usedShare float64
+}
+
+// estimates holds one estimate a kind.
+type estimates struct{ byKind map[queueKey]*kindEstimate }
+
+func newEstimates() estimates { return estimates{byKind: map[queueKey]*kindEstimate{}} }
+
+func (e *estimates) of(j *job) *kindEstimate {
+	key := queueKey{j.spec.Team, j.spec.Kind}
+	k := e.byKind[key]
+	if k == nil {
+		k = &kindEstimate{
+			runTime: hdrhistogram.New(1, longestRunTime.Milliseconds(), estimateDigits),
+		}
+		e.byKind[key] = k
+	}
+	return k
+}
+
+// noteEnd records the run time of an attempt that ran to its end.
+func (e *estimates) noteEnd(j *job, rep *TaskReport) {
+	if rep.State != ReportedSucceeded {
+		return
+	}
+	ms := min(max(1, rep.RunTime.Milliseconds()), longestRunTime.Milliseconds())
+	// The value is within the histogram's range.
+	_ = e.of(j).runTime.RecordValue(ms)
+}
+
+// noteUse records measured use.
+func (e *estimates) noteUse(j *job, used Resources) {
+	const weight = 0.1
+	if j.kind.Request.MilliCPU == 0 || used.MilliCPU == 0 {
+		return
+	}
+	k := e.of(j)
+	share := float64(used.MilliCPU) / float64(j.kind.Request.MilliCPU)
+	k.usedShare += weight * (share - k.usedShare)
+}
+
+// runTime is the time that a task of j takes, by outcomes or as declared.
+func (e *estimates) runTime(j *job, percentile float64) time.Duration {
+	k := e.byKind[queueKey{j.spec.Team, j.spec.Kind}]
+	if k == nil || k.runTime.TotalCount() < leastSamples {
+		return j.kind.RunTime
+	}
+	return time.Duration(k.runTime.ValueAtPercentile(percentile)) * time.Millisecond
+}
+
+// rateMeter measures events per second over about the last ten seconds.
+type rateMeter struct {
+	rate float64
+	last Time
+	n    int
+}
+
+// meterWindow is the time over which a rateMeter averages.
+const meterWindow = 10 * time.Second
+
+// add counts one event.
+func (m *rateMeter) add(now Time) {
+	m.n++
+	if m.last == 0 {
+		m.last = now
+		return
+	}
+	if elapsed := now.Sub(m.last); elapsed >= time.Second {
+		weight := min(1, elapsed.Seconds()/meterWindow.Seconds())
+		m.rate += weight * (float64(m.n)/elapsed.Seconds() - m.rate)
+		m.n, m.last = 0, now
+	}
+}
+
+// expectedWait is how long a job that joins the queue now would wait, or zero
+// when nothing is known.
+func (k *kindQueue) expectedWait(now Time) time.Duration {
+	if k.starts.rate <= 0 || k.size == 0 || now.Sub(k.starts.last) > 2*meterWindow {
+		return 0
+	}
+	return time.Duration(float64(k.size) / k.starts.rate * float64(time.Second))
+}
--- a/core/event.go
+++ b/core/event.go
@@ -45,6 +45,12 @@
 		Explain   bool
 		Forwarded bool
 	}
+	// ForwardFailed says that the host a request was forwarded to gave no
+	// whole answer.
+	ForwardFailed struct {
+		Request RequestID
+		Verdict Verdict
+	}
 	// RequestAbandoned says that a caller no longer waits.
 	RequestAbandoned struct{ Request RequestID }
 	// ViewRequested asks for one of the operators' views.
@@ -68,8 +74,13 @@
 	// DocumentsRead brings documents from the store or a peer.
 	DocumentsRead struct {
 		Versions []DocumentVersion
-		// Complete is set when Versions is the whole list of the store.
-		Complete bool
+		// From is the host that sent them, or empty.
+		From HostID
+	}
+	// HistoryRequested asks for the versions of a team's document.
+	HistoryRequested struct {
+		Request RequestID
+		Team    TeamName
 	}
 
 	// StoreAnswered is the result of a store effect.
@@ -116,13 +127,22 @@
 		Task    TaskRef
 		Verdict Verdict
 		Reason  Reason
+		// Answered is set when the worker itself said so. Without it, NotRun
+		// speaks only of this copy of the start.
+		Answered bool
 		// HighestEpoch is the worker's epoch if it refused ours.
 		HighestEpoch Epoch
 	}
 
 	// CallsReported brings the traffic side's use of grants since the last
 	// report.
-	CallsReported struct{ Calls []CallReport }
+	CallsReported struct {
+		// Version and Epoch are those of the grants in force when the report
+		// was made.
+		Version uint64
+		Epoch   Epoch
+		Calls   []CallReport
+	}
 
 	// PeerHeard is a heartbeat of another host of the data centre.
 	PeerHeard struct{ Heartbeat Heartbeat }
@@ -234,10 +254,12 @@
 func (CancelRequested) eventBody()  {}
 func (StatusRequested) eventBody()  {}
 func (RequestAbandoned) eventBody() {}
+func (ForwardFailed) eventBody()    {}
 func (ViewRequested) eventBody()    {}
 func (DrainRequested) eventBody()   {}
 func (DocumentProposed) eventBody() {}
 func (DocumentsRead) eventBody()    {}
+func (HistoryRequested) eventBody() {}
 func (StoreAnswered) eventBody()    {}
 func (HostsListed) eventBody()      {}
 func (WorkerSynced) eventBody()     {}
--- /dev/null
+++ b/core/feasible.go
@@ -0,0 +1,82 @@
+package core
+
+const (
+	// candidates is how many workers with room are ranked for one task. More
+	// give little better packing for their cost.
+	candidates = 8
+	// searchBudget bounds the index nodes visited for one task, so that a
+	// decision costs about the same in a large cell as in a small one.
+	searchBudget = 400
+)
+
+// constraint restricts the workers that a task may be placed on.
+type constraint struct {
+	need Resources
+	job  JobID
+	// avoid lists workers on which the task has failed.
+	avoid []WorkerID
+}
+
+// feasible collects up to candidates workers that satisfy c, starting the search
+// at worker slot from.
+func (f *fleet) feasible(c *constraint, from int, found []*worker) []*worker {
+	budget := searchBudget
+	for at := from; len(found) < candidates && budget > 0; {
+		i := f.index.next(at, c.need, &budget)
+		if i < 0 {
+			break
+		}
+		at = i + 1
+		if w := f.workers[i]; c.allows(w) {
+			found = append(found, w)
+		}
+	}
+	return found
+}
+
+// allows applies the filters that the index does not cover.
+func (c *constraint) allows(w *worker) bool {
+	if w.reservedBy != "" && w.reservedBy != c.job {
+		return false
+	}
+	for _, id := range c.avoid {
+		if id == w.id {
+			return false
+		}
+	}
+	return true
+}
+
+// rejections counts, for an explanation, the workers that fail each filter.
+func (f *fleet) rejections(c *constraint) []FilterCount {
+	counts := []FilterCount{
+		{Filter: "not answering"}, {Filter: "leaving"}, {Filter: "out of use after failures"},
+		{Filter: "too small"}, {Filter: "too little free"},
+		{Filter: "reserved for another job"}, {Filter: "failed this job before"},
+	}
+	for _, w := range f.workers {
+		switch {
+		case !w.listed || !w.fenced || w.lost:
+			counts[0].Workers++
+		case w.leaving:
+			counts[1].Workers++
+		case w.health.quarantined:
+			counts[2].Workers++
+		case !c.need.Fits(w.capacity):
+			counts[3].Workers++
+		case !c.need.Fits(w.free()):
+			counts[4].Workers++
+		case w.reservedBy != "" && w.reservedBy != c.job:
+			counts[5].Workers++
+		case !c.allows(w):
+			counts[6].Workers++
+		}
+	}
+	kept := counts[:0]
+	for _, k := range counts {
+		if k.Workers > 0 {
+			kept = append(kept, k)
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/fleet.go
@@ -0,0 +1,263 @@
+package core
+
+import (
+	"slices"
+	"strings"
+)
+
+// placement is one task that counts as assigned on a worker.
+type placement struct {
+	job  *job
+	task *task
+}
+
+// worker is the reducer's view of one worker.
+//
+// Invariant: assigned is the sum of what its placements, orphans and grants
+// hold, and never exceeds capacity through a decision of this package.
+type worker struct {
+	id         WorkerID
+	address    string
+	rack       string
+	dataCentre DataCentre
+	capacity   Resources
+	assigned   Resources
+	listed     bool
+	leaving    bool
+	// fenced is set once the worker has answered the current epoch.
+	fenced bool
+	// lost is set once its tasks have surely ended.
+	lost        bool
+	incarnation uint64
+	since       uint64
+	placements  map[taskKey]placement
+	// orphans are tasks that run there but belong to no known job.
+	orphans map[TaskRef]Resources
+	health  workerHealth
+	sync    syncState
+	// slot is the worker's place in the capacity index.
+	slot int
+	// reservedBy is the job that room is being gathered for, or empty.
+	reservedBy JobID
+}
+
+// taskKey names a task regardless of its attempt.
+type taskKey struct {
+	job  JobID
+	task int
+}
+
+// fleet holds the workers of the data centre.
+type fleet struct {
+	// workers is in slot order: workers with accelerators last, so that other
+	// work finds the plain ones first, and within that by rack and id.
+	workers []*worker
+	byID    map[WorkerID]*worker
+	index   capacityIndex
+	total   Resources
+	// released counts the events after which a placement that failed before
+	// may succeed.
+	released uint64
+	// scheduled is released at the time of the last placement.
+	scheduled uint64
+	// takeover is when this host began to fence workers.
+	takeover Time
+}
+
+func newFleet() fleet { return fleet{byID: map[WorkerID]*worker{}} }
+
+func (f *fleet) get(id WorkerID) *worker { return f.byID[id] }
+
+// free is what the worker has left.
+func (w *worker) free() Resources { return w.capacity.Sub(w.assigned) }
+
+// isUsable reports whether the worker may get new work.
+func (w *worker) isUsable() bool {
+	return w.listed && w.fenced && !w.lost && !w.leaving && !w.health.quarantined
+}
+
+// update replaces the list of workers. It returns those that are no longer
+// listed.
+func (f *fleet) update(listed []ListedWorker) []*worker {
+	seen := map[WorkerID]bool{}
+	changed := false
+	for i := range listed {
+		l := &listed[i]
+		seen[l.ID] = true
+		changed = f.merge(l) || changed
+	}
+	var gone []*worker
+	for _, w := range f.workers {
+		if !seen[w.id] && w.listed {
+			w.listed = false
+			gone = append(gone, w)
+			changed = true
+		}
+	}
+	if changed {
+		f.rebuild()
+	}
+	return gone
+}
+
+// merge takes over one listed worker and reports whether anything changed that
+// the index depends on.
+func (f *fleet) merge(l *ListedWorker) bool {
+	w := f.byID[l.ID]
+	if w == nil {
+		w = &worker{
+			id: l.ID, placements: map[taskKey]placement{}, orphans: map[TaskRef]Resources{},
+		}
+		f.byID[l.ID] = w
+		f.workers = append(f.workers, w)
+	}
+	changed := !w.listed || w.capacity != l.Capacity || w.rack != l.Rack
+	w.listed, w.address, w.rack, w.dataCentre = true, l.Address, l.Rack, l.DataCentre
+	w.capacity = l.Capacity
+	if l.Leaving != w.leaving {
+		w.leaving = l.Leaving
+		changed = true
+	}
+	return changed
+}
+
+// rebuild orders the workers and builds the index anew. Workers that are neither
+// listed nor hold anything are dropped.
+func (f *fleet) rebuild() {
+	f.workers = slices.DeleteFunc(f.workers, func(w *worker) bool {
+		drop := !w.listed && len(w.placements) == 0 && len(w.orphans) == 0 && w.assigned.IsZero()
+		if drop {
+			delete(f.byID, w.id)
+		}
+		return drop
+	})
+	slices.SortFunc(f.workers, compareWorkers)
+	f.index = newCapacityIndex(len(f.workers))
+	f.total = Resources{}
+	for i, w := range f.workers {
+		w.slot = i
+		if w.listed && !w.leaving {
+			f.total = f.total.Add(w.capacity)
+		}
+		f.refresh(w)
+	}
+	f.released++
+}
+
+// compareWorkers orders workers as fleet.workers requires.
+func compareWorkers(a, b *worker) int {
+	if (a.capacity.Accelerators > 0) != (b.capacity.Accelerators > 0) {
+		if b.capacity.Accelerators > 0 {
+			return -1
+		}
+		return 1
+	}
+	if c := strings.Compare(a.rack, b.rack); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a.id), string(b.id))
+}
+
+// refresh brings the index up to date with a worker.
+func (f *fleet) refresh(w *worker) {
+	free := unusable
+	if w.isUsable() {
+		free = w.free()
+	}
+	f.index.set(w.slot, free)
+}
+
+// assign counts need as assigned to a task on w.
+func (f *fleet) assign(w *worker, j *job, t *task, need Resources) {
+	t.worker, t.incarnation, t.held = w.id, w.incarnation, need
+	w.placements[taskKey{j.spec.ID, t.index}] = placement{j, t}
+	f.hold(w, need)
+	if team := j.team; team != nil {
+		team.use(need, 1)
+	}
+}
+
+// unassign returns what a task holds.
+func (f *fleet) unassign(j *job, t *task) {
+	w := f.byID[t.worker]
+	if w == nil {
+		return
+	}
+	key := taskKey{j.spec.ID, t.index}
+	if _, ok := w.placements[key]; !ok {
+		return
+	}
+	delete(w.placements, key)
+	f.hold(w, t.held.Times(-1))
+	if team := j.team; team != nil {
+		team.use(t.held, -1)
+	}
+	t.held = Resources{}
+}
+
+// hold adds need, which may be negative, to what is assigned on w.
+func (f *fleet) hold(w *worker, need Resources) {
+	w.assigned = w.assigned.Add(need)
+	if need.MilliCPU < 0 || need.MemoryMB < 0 || need.Slots < 0 || need.Accelerators < 0 || need.Connections < 0 {
+		f.released++
+	}
+	f.refresh(w)
+}
+
+// addOrphan counts a task of no known job.
+func (f *fleet) addOrphan(w *worker, ref TaskRef, need Resources) {
+	if _, ok := w.orphans[ref]; ok {
+		return
+	}
+	w.orphans[ref] = need
+	f.hold(w, need)
+}
+
+// removeOrphan forgets an orphan that has ended.
+func (f *fleet) removeOrphan(w *worker, ref TaskRef) {
+	need, ok := w.orphans[ref]
+	if !ok {
+		return
+	}
+	delete(w.orphans, ref)
+	f.hold(w, need.Times(-1))
+}
+
+// forget drops everything that is known about the use of workers.
+func (f *fleet) forget() {
+	for _, w := range f.workers {
+		w.placements = map[taskKey]placement{}
+		w.orphans = map[TaskRef]Resources{}
+		w.assigned = Resources{}
+		w.fenced, w.lost, w.since, w.reservedBy = false, false, 0, ""
+		w.sync = syncState{}
+		w.health = workerHealth{}
+		f.refresh(w)
+	}
+	f.released++
+}
+
+// allSettled reports whether every listed worker has answered or is lost.
+func (f *fleet) allSettled() bool {
+	for _, w := range f.workers {
+		if w.listed && !w.fenced && !w.lost {
+			return false
+		}
+	}
+	return true
+}
+
+// canEverHold reports whether some listed worker could hold need if it were
+// empty, and how many copies all workers together could hold, at most limit.
+func (f *fleet) canEverHold(need Resources, limit int64) int64 {
+	n := int64(0)
+	for _, w := range f.workers {
+		if n >= limit {
+			break
+		}
+		if w.listed && !w.leaving {
+			n += need.Copies(w.capacity, limit-n)
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/forward.go
@@ -0,0 +1,111 @@
+package core
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// parkFor is how long a request waits for a host that can answer it. It
+	// exceeds a takeover, so that a takeover fails no request.
+	parkFor = 20 * time.Second
+	// maxParked bounds the requests that wait.
+	maxParked = 4096
+)
+
+// parkedRequest waits until the owner of the data centre is known.
+type parkedRequest struct {
+	id RequestID
+	// verdict is what is known if nobody answers.
+	verdict Verdict
+	reason  Reason
+	since   Time
+}
+
+// parkedRequests are in the order of their arrival.
+type parkedRequests []parkedRequest
+
+func (p *parkedRequests) remove(id RequestID) {
+	*p = slices.DeleteFunc(*p, func(q parkedRequest) bool { return q.id == id })
+}
+
+// forward passes a request on to the owner, or parks it until one is known.
+// Every request about jobs may be sent twice: it names its job.
+func (r *Reducer) forward(id RequestID, forwarded bool) {
+	if forwarded {
+		ref := refuse(ReasonNoOwner, "this host does not schedule %s", r.cfg.DataCentre)
+		r.refuse(id, ref, "", "")
+		return
+	}
+	if r.ownerKnown() {
+		r.emit(Forward{Request: id, Host: r.owner.ownerHost, Address: r.owner.ownerAddress})
+		return
+	}
+	r.park(id, NotRun, ReasonNoOwner)
+}
+
+// ownerKnown reports whether another host is known to be the owner and alive.
+func (r *Reducer) ownerKnown() bool {
+	o := &r.owner
+	return o.ownerAddress != "" && o.ownerHost != r.cfg.Host && r.now.Sub(o.ownerHeard) < ownerSilence
+}
+
+// park lets a request wait for an owner.
+func (r *Reducer) park(id RequestID, v Verdict, reason Reason) {
+	if len(r.parked) >= maxParked {
+		ref := refuse(reason, "no host schedules %s at the moment; ask again", r.cfg.DataCentre)
+		ref.Verdict = v
+		r.refuse(id, ref, "", "")
+		return
+	}
+	r.parked = append(r.parked, parkedRequest{id: id, verdict: v, reason: reason, since: r.now})
+}
+
+// parkOpenRequests parks every request that waits for a job, since this host
+// stops to be the owner. An accepted job lives on in the journal, so nothing
+// counts as not run unless its record was never sent.
+func (r *Reducer) parkOpenRequests(reason Reason) {
+	for _, j := range r.jobs.ordered() {
+		v := MayHaveRun
+		if j.state == JobAccepting && r.recordUnsent(j.spec.ID) {
+			v = NotRun
+		}
+		for _, id := range append(j.submitters, j.waiters...) {
+			r.park(id, v, reason)
+		}
+	}
+}
+
+// tickParked forwards parked requests once an owner is known and refuses those
+// that have waited too long.
+func (r *Reducer) tickParked() {
+	if len(r.parked) == 0 {
+		return
+	}
+	if r.ownerKnown() {
+		parked := r.parked
+		r.parked = nil
+		for _, p := range parked {
+			r.emit(Forward{Request: p.id, Host: r.owner.ownerHost, Address: r.owner.ownerAddress})
+		}
+		return
+	}
+	if r.owner.role == roleOwner {
+		// This host answers itself when it forwards to its own address.
+		parked := r.parked
+		r.parked = nil
+		for _, p := range parked {
+			r.emit(Forward{Request: p.id, Host: r.cfg.Host, Address: r.cfg.Address})
+		}
+		return
+	}
+	n := 0
+	for n < len(r.parked) && r.now.Sub(r.parked[n].since) > parkFor {
+		p := r.parked[n]
+		ref := refuse(p.reason, "no host schedules %s at the moment; ask again", r.cfg.DataCentre)
+		ref.Verdict, ref.RetryAfter = p.verdict, time.Second
+		r.refuse(p.id, ref, "", "")
+		n++
+	}
+	r.parked = r.parked[n:]
+}
--- a/core/grants.go
+++ b/core/grants.go
@@ -1,6 +1,11 @@
 package core
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
 
 // Grant allows the traffic side of one host to have up to Slots interactive
 // calls of one kind in progress at one worker. The capacity counts as assigned
@@ -24,3 +29,337 @@
 	MaxAttempts     int
 	QueueLimit      int
 }
+
+const (
+	// grantPeriod is how often grants are divided anew.
+	grantPeriod = 200 * time.Millisecond
+	// grantHeadroom is how much more than the recent peak of use is granted,
+	// so that a burst finds grants in place.
+	grantHeadroom = 1.3
+	// grantLeast is the number of grants of a kind that a host always has.
+	grantLeast = 2
+	// peakDecay shrinks the remembered peak each period; it halves within
+	// about three seconds.
+	peakDecay = 0.955
+	// grantsPerTick bounds the grants added in one step.
+	grantsPerTick = 64
+	// localGrantRenew is how often the own traffic side's grants are renewed.
+	localGrantRenew = time.Second
+)
+
+// grantEntry is what one host may use of one worker for one kind.
+//
+// Invariant: held is at least target and at least what the host may still use
+// under a version it has not replaced yet; held counts as assigned.
+type grantEntry struct {
+	queue  queueKey
+	worker WorkerID
+	need   Resources
+	target int
+	held   int
+	// version is that of the grants in which target was last changed.
+	version uint64
+}
+
+// grantDemand is the use of one kind by one host.
+type grantDemand struct {
+	inUse   int
+	waiting int
+	peak    float64
+}
+
+// hostGrants holds the grants of one host.
+type hostGrants struct {
+	host    HostID
+	version uint64
+	acked   uint64
+	heard   Time
+	entries []*grantEntry
+	demand  map[queueKey]*grantDemand
+	changed bool
+}
+
+// grantTable divides capacity for interactive calls among hosts.
+type grantTable struct {
+	hosts []*hostGrants
+	next  Time
+	// local is what the traffic side of this host has in force.
+	local      []Grant
+	localEpoch Epoch
+	localVer   uint64
+	localUntil Time
+	localRenew Time
+	localCalls []CallReport
+	localAck   uint64
+	ackEpoch   Epoch
+	leftovers  []leftoverCalls
+}
+
+// leftoverCalls are calls that a worker had in progress when it was fenced.
+type leftoverCalls struct {
+	worker WorkerID
+	need   Resources
+	until  Time
+}
+
+func newGrantTable() grantTable { return grantTable{} }
+
+// of returns the grants of a host, creating them.
+func (g *grantTable) of(host HostID) *hostGrants {
+	for _, h := range g.hosts {
+		if h.host == host {
+			return h
+		}
+	}
+	h := &hostGrants{host: host, demand: map[queueKey]*grantDemand{}}
+	g.hosts = append(g.hosts, h)
+	slices.SortFunc(g.hosts, func(a, b *hostGrants) int {
+		return strings.Compare(string(a.host), string(b.host))
+	})
+	return h
+}
+
+// tickGrants divides grants anew and renews those of the own traffic side.
+func (r *Reducer) tickGrants() {
+	g := &r.grants
+	if !r.owner.active() || r.now < g.next {
+		return
+	}
+	g.next = r.now.Add(grantPeriod)
+	g.of(r.cfg.Host).heard = r.now
+	r.releaseLeftovers()
+	budget := grantsPerTick
+	for _, h := range g.hosts {
+		if r.now.Sub(h.heard) > r.grantLifetime() {
+			r.dropHost(h)
+			continue
+		}
+		r.divide(h, &budget)
+	}
+	g.hosts = slices.DeleteFunc(g.hosts, func(h *hostGrants) bool {
+		return len(h.entries) == 0 && r.now.Sub(h.heard) > r.grantLifetime()
+	})
+	r.setLocalGrants()
+}
+
+// grantLifetime is the time after which a silent host surely uses no grant: its
+// grants have expired and the calls made under them have reached their deadline.
+func (r *Reducer) grantLifetime() time.Duration {
+	longest := time.Duration(0)
+	for _, t := range r.docs.teams {
+		for i := range t.doc().Kinds {
+			if k := &t.doc().Kinds[i]; k.Urgency == Interactive {
+				longest = max(longest, k.Deadline)
+			}
+		}
+	}
+	return r.cfg.GrantFor + longest
+}
+
+// divide adjusts the grants of one host to its use.
+func (r *Reducer) divide(h *hostGrants, budget *int) {
+	live := r.now.Sub(h.heard) < peerSilence && !r.peers.isDraining(h.host)
+	for _, t := range r.docs.teams {
+		for i := range t.doc().Kinds {
+			k := &t.doc().Kinds[i]
+			if k.Urgency == Interactive {
+				r.divideKind(h, t, k, live, budget)
+			}
+		}
+	}
+	for _, e := range h.entries {
+		if k := r.docs.kind(e.queue.team, e.queue.kind); k == nil || k.Urgency != Interactive {
+			r.setTarget(h, e, 0)
+		}
+		if w := r.fleet.get(e.worker); w == nil || !w.isUsable() {
+			r.setTarget(h, e, 0)
+		}
+	}
+	if h.changed {
+		h.version++
+		h.changed = false
+	}
+}
+
+// divideKind adjusts the grants of one kind.
+func (r *Reducer) divideKind(h *hostGrants, t *team, k *Kind, live bool, budget *int) {
+	key := queueKey{t.name, k.Name}
+	d := h.demand[key]
+	if d == nil {
+		d = &grantDemand{}
+		h.demand[key] = d
+	}
+	d.peak = max(float64(d.inUse), d.peak*peakDecay)
+	want := grantLeast + int(d.peak*grantHeadroom) + d.waiting
+	if !live {
+		want = 0
+	}
+	have := 0
+	for _, e := range h.entries {
+		if e.queue == key {
+			have += e.target
+		}
+	}
+	for ; have < want && *budget > 0; have++ {
+		*budget--
+		if !r.addGrant(h, t, k, key) {
+			return
+		}
+	}
+	for i := len(h.entries) - 1; i >= 0 && have > want; i-- {
+		if e := h.entries[i]; e.queue == key && e.target > 0 {
+			drop := min(e.target, have-want)
+			r.setTarget(h, e, e.target-drop)
+			have -= drop
+		}
+	}
+}
+
+// addGrant grants one more slot of a kind to a host. Beyond its quota a team
+// gets only what nobody entitled waits for.
+func (r *Reducer) addGrant(h *hostGrants, t *team, k *Kind, key queueKey) bool {
+	entitled := r.entitled(t, k.Request)
+	if !entitled && r.entitledWaiting(t) {
+		return false
+	}
+	id := JobID("grant:" + string(t.name) + "/" + string(k.Name))
+	w := r.fleet.pick(&constraint{need: k.Request, job: id})
+	if w == nil {
+		if entitled && r.reserve.of(id) == nil {
+			c := claim{id: id, team: t, urgency: Interactive, need: k.Request}
+			if plan, ok := r.planPreemption(&c, nil); ok {
+				r.carryOut(&c, []preemptionPlan{plan})
+			}
+		}
+		return false
+	}
+	r.reserve.drop(r, id)
+	r.setTarget(h, h.entry(key, w.id, k.Request), h.entry(key, w.id, k.Request).target+1)
+	return true
+}
+
+// entitledWaiting reports whether another team has work within its quota that
+// waits for room.
+func (r *Reducer) entitledWaiting(t *team) bool {
+	for _, k := range r.queues.busy {
+		if j := k.first(); k.team != t && j != nil && r.entitled(k.team, j.demand()) {
+			return true
+		}
+	}
+	return false
+}
+
+// entry returns the entry of a worker, creating it.
+func (h *hostGrants) entry(key queueKey, w WorkerID, need Resources) *grantEntry {
+	for _, e := range h.entries {
+		if e.queue == key && e.worker == w && e.need == need {
+			return e
+		}
+	}
+	e := &grantEntry{queue: key, worker: w, need: need}
+	h.entries = append(h.entries, e)
+	return e
+}
+
+// setTarget changes the number of slots granted. More count at once; fewer are
+// returned when the host has confirmed the change.
+func (r *Reducer) setTarget(h *hostGrants, e *grantEntry, target int) {
+	if e.target == target {
+		return
+	}
+	e.target, e.version = target, h.version+1
+	h.changed = true
+	r.setHeld(e, max(e.held, target))
+}
+
+// setHeld changes what an entry holds on its worker.
+func (r *Reducer) setHeld(e *grantEntry, held int) {
+	by := e.need.Times(int64(held - e.held))
+	e.held = held
+	if w := r.fleet.get(e.worker); w != nil && !by.IsZero() {
+		r.fleet.hold(w, by)
+	}
+	if t := r.docs.team(e.queue.team); t != nil {
+		t.use(by, 1)
+	}
+}
+
+// noteUse takes over a host's report about its grants.
+func (r *Reducer) noteUse(h *hostGrants, version uint64, epoch Epoch, calls []CallReport) {
+	h.heard = r.now
+	if epoch == r.owner.epoch {
+		h.acked = max(h.acked, version)
+	}
+	inUse := map[queueKey]int{}
+	byEntry := map[queueKey]map[WorkerID]int{}
+	for _, c := range calls {
+		key := queueKey{c.Team, c.Kind}
+		if c.Worker == "" {
+			if d := h.demand[key]; d != nil {
+				d.waiting = c.Waiting
+			}
+			continue
+		}
+		inUse[key] += c.InUse
+		if byEntry[key] == nil {
+			byEntry[key] = map[WorkerID]int{}
+		}
+		byEntry[key][c.Worker] = c.InUse
+	}
+	for key, d := range h.demand {
+		d.inUse = inUse[key]
+		d.peak = max(d.peak, float64(d.inUse))
+	}
+	for _, e := range h.entries {
+		if e.version <= h.acked {
+			r.setHeld(e, max(e.target, byEntry[e.queue][e.worker]))
+		}
+	}
+	h.entries = slices.DeleteFunc(h.entries, func(e *grantEntry) bool {
+		return e.held == 0 && e.target == 0
+	})
+}
+
+// dropHost returns everything that a silent host held.
+func (r *Reducer) dropHost(h *hostGrants) {
+	for _, e := range h.entries {
+		e.target = 0
+		r.setHeld(e, 0)
+	}
+	h.entries = nil
+}
+
+// list returns the grants of the host in a fixed order.
+func (h *hostGrants) list(f *fleet) []Grant {
+	var out []Grant
+	for _, e := range h.entries {
+		if w := f.get(e.worker); w != nil && e.target > 0 {
+			out = append(out, Grant{
+				Team: e.queue.team, Kind: e.queue.kind, Worker: e.worker,
+				Address: w.address, Slots: e.target,
+			})
+		}
+	}
+	slices.SortFunc(out, compareGrants)
+	return out
+}
+
+func compareGrants(a, b Grant) int {
+	return cmp.Or(
+		strings.Compare(string(a.Team), string(b.Team)),
+		strings.Compare(string(a.Kind), string(b.Kind)),
+		strings.Compare(string(a.Worker), string(b.Worker)),
+	)
+}
+
+// forgetWorker drops the grants on a lost worker.
+func (g *grantTable) forgetWorker(r *Reducer, w *worker) {
+	for _, h := range g.hosts {
+		for _, e := range h.entries {
+			if e.worker == w.id {
+				r.setTarget(h, e, 0)
+				r.setHeld(e, 0)
+			}
+		}
+	}
+}
--- a/core/job.go
+++ b/core/job.go
@@ -88,13 +88,26 @@
 // task is one task of a job. While its state is neither taskWaiting nor
 // taskDone, its request counts as assigned on worker.
 type task struct {
-	index     int
-	attempt   int
-	state     taskState
-	worker    WorkerID
+	index   int
+	attempt int
+	state   taskState
+	worker  WorkerID
+	// incarnation is that of the worker when the task was assigned.
+	incarnation uint64
+	// held is what counts as assigned on worker.
+	held Resources
+	// sent is when the start was last sent, and doubtful is set when an
+	// earlier copy of it may still reach the worker.
+	sent     Time
+	doubtful bool
+	doubtAt  Time
+	// resend is when the start is sent again, or zero.
+	resend    Time
 	started   Time
 	throttled bool
-	stopping  bool
+	// unthrottling is set until the worker confirms the end of throttling.
+	unthrottling bool
+	stopping     bool
 	// checkpoint is the worker's reference to saved progress, or empty.
 	checkpoint string
 	// failedOn lists workers on which attempts failed.
@@ -105,6 +118,7 @@
 type job struct {
 	spec    JobSpec
 	kind    *Kind
+	team    *team
 	state   JobState
 	tasks   []task
 	refusal *Refusal
@@ -115,12 +129,20 @@
 	service string
 	// cancelled is set once a caller has asked for cancellation.
 	cancelled bool
+	// began is set once a worker is known to have started any task.
+	began     bool
 	preempted int
 	// inQueue is kept by queues.
 	inQueue bool
 	// notBefore holds the job back after a failed attempt.
 	notBefore Time
-	waiters   []RequestID
+	// submitters wait for the accept record and waiters for the outcome.
+	submitters []RequestID
+	waiters    []RequestID
+	steps      []Step
+	failures   int
+	// rack is that of a replica's worker.
+	rack string
 	// journaled is set once the accept record is in the journal.
 	journaled bool
 }
@@ -150,7 +172,7 @@
 // holdsCapacity reports whether the task's request counts as assigned.
 func (t *task) holdsCapacity() bool { return t.state != taskWaiting && t.state != taskDone }
 
-// started reports whether any attempt of any task has left for a worker.
+// everStarted reports whether any attempt of any task has left for a worker.
 func (j *job) everStarted() bool {
 	for i := range j.tasks {
 		if j.tasks[i].attempt > 0 {
--- /dev/null
+++ b/core/jobtable.go
@@ -0,0 +1,134 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// retention is how long a finished job answers repeated submits.
+	retention = 10 * time.Minute
+	// maxSteps bounds the transitions kept for an explanation.
+	maxSteps = 16
+)
+
+// jobTable holds all jobs that are not forgotten yet.
+type jobTable struct {
+	byID map[JobID]*job
+	// timers holds the next time at which each job needs a look.
+	timers timeHeap
+	// resend lists the tasks whose start may have to be sent again.
+	resend []taskKey
+	// waiting maps open requests to the job that they wait for.
+	waiting map[RequestID]JobID
+	// services holds the replicas of long-running services.
+	services map[serviceKey][]*job
+	// unfinished counts jobs that are not final.
+	unfinished int
+}
+
+func newJobTable() jobTable {
+	return jobTable{
+		byID: map[JobID]*job{}, waiting: map[RequestID]JobID{},
+		services: map[serviceKey][]*job{},
+	}
+}
+
+func (t *jobTable) get(id JobID) *job { return t.byID[id] }
+
+func (t *jobTable) add(j *job) {
+	t.byID[j.spec.ID] = j
+	t.unfinished++
+}
+
+// schedule sets the next time at which the job needs a look.
+func (t *jobTable) schedule(j *job) {
+	switch {
+	case j.service != "":
+	case j.state.Final():
+		t.timers.add(j.ended.Add(retention), j.spec.ID)
+	case j.everStarted():
+		t.timers.add(j.deadline(), j.spec.ID)
+	default:
+		t.timers.add(j.startBy(), j.spec.ID)
+	}
+}
+
+// forget removes a finished job.
+func (t *jobTable) forget(j *job) { delete(t.byID, j.spec.ID) }
+
+// ordered returns all jobs by id, for work that must not depend on the order of
+// a map.
+func (t *jobTable) ordered() []*job {
+	out := make([]*job, 0, len(t.byID))
+	for _, j := range t.byID {
+		out = append(out, j)
+	}
+	slices.SortFunc(out, func(a, b *job) int {
+		return strings.Compare(string(a.spec.ID), string(b.spec.ID))
+	})
+	return out
+}
+
+// abandon forgets an open request.
+func (t *jobTable) abandon(id RequestID) {
+	j := t.byID[t.waiting[id]]
+	delete(t.waiting, id)
+	if j == nil {
+		return
+	}
+	same := func(o RequestID) bool { return o == id }
+	j.waiters = slices.DeleteFunc(j.waiters, same)
+	j.submitters = slices.DeleteFunc(j.submitters, same)
+}
+
+// wait registers a request for the outcome of a job.
+func (t *jobTable) wait(j *job, id RequestID) {
+	j.waiters = append(j.waiters, id)
+	t.waiting[id] = j.spec.ID
+}
+
+// note remembers a transition for explanations.
+func (t *jobTable) note(j *job, now Time, text string, w WorkerID) {
+	if len(j.steps) == maxSteps {
+		copy(j.steps, j.steps[1:])
+		j.steps = j.steps[:maxSteps-1]
+	}
+	j.steps = append(j.steps, Step{At: now, Text: text, Worker: w})
+}
+
+// siblings counts the placed replicas of the same service in a rack.
+func (t *jobTable) siblings(j *job, rack string) int {
+	n := 0
+	for _, o := range t.services[serviceKey{j.spec.Team, j.service}] {
+		if o != j && o.rack == rack && o.tasks[0].holdsCapacity() {
+			n++
+		}
+	}
+	return n
+}
+
+// newJob builds a job with all tasks waiting. A kind that is no longer declared
+// gives a job without resources, which its recovery ends.
+func (r *Reducer) newJob(spec JobSpec, kind *Kind) *job {
+	if kind == nil {
+		kind = &Kind{Name: spec.Kind, GangSize: 1, MaxAttempts: 1}
+	}
+	size := max(1, kind.GangSize)
+	j := &job{spec: spec, kind: kind, team: r.docs.team(spec.Team), tasks: make([]task, size)}
+	for i := range j.tasks {
+		j.tasks[i].index = i
+	}
+	return j
+}
+
+// recordUnsent reports whether the job's accept record waits to be sent.
+func (r *Reducer) recordUnsent(id JobID) bool {
+	for i := range r.journal.open {
+		if rec := &r.journal.open[i]; rec.Job == id && rec.Kind == RecordAccepted && !rec.Copy {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/journal.go
@@ -0,0 +1,330 @@
+package core
+
+import (
+	"hash/fnv"
+	"time"
+)
+
+const (
+	// maxGroupBytes bounds a journal group well below the store's limit of
+	// 1 MiB, base64 and JSON included.
+	maxGroupBytes = 256 << 10
+	// recordBytes is what a record takes beside its payload and result.
+	recordBytes = 300
+	// journalBurst is how many writes may follow each other at once after an
+	// idle time.
+	journalBurst = 8
+	// journalRetry is the wait after a write that surely took no effect.
+	journalRetry = 300 * time.Millisecond
+	// cleanAfter is the number of groups that starts a cleaning.
+	cleanAfter = 64
+	// cleanBatch is how many of the oldest groups one cleaning rewrites.
+	cleanBatch = 32
+	// keptOpenings is how many opening groups are never deleted. A former
+	// owner can only write to the key of its successor's opening group, so as
+	// long as that key exists its write is refused.
+	keptOpenings = 64
+)
+
+// journalPhase is what the journal waits for.
+type journalPhase uint8
+
+const (
+	journalIdle journalPhase = iota
+	journalWriting
+	journalReadingBack
+)
+
+// writtenGroup is a group in the store.
+type writtenGroup struct {
+	sequence uint64
+	opening  bool
+	jobs     []JobID
+}
+
+// journal groups records into writes to the store.
+//
+// Invariant: at most one group is in flight, and its sequence is one above that
+// of the last group known to be written.
+type journal struct {
+	open      []Record
+	openBytes int
+	inFlight  *JournalGroup
+	phase     journalPhase
+	retryAt   Time
+	// sequence is that of the last group known to be written.
+	sequence uint64
+	rate     float64
+	tokens   float64
+	refilled Time
+	groups   []writtenGroup
+	// loaded holds the groups of earlier epochs during a recovery.
+	loaded []JournalGroup
+	// copies is the number of records of a cleaning that are not durable yet.
+	copies int
+	// cleaning holds the groups that are deleted once copies is zero.
+	cleaning []writtenGroup
+}
+
+func newJournal(rate float64) journal {
+	return journal{rate: rate, tokens: journalBurst}
+}
+
+// size estimates the encoded size of a record.
+func (rec *Record) size() int {
+	n := recordBytes + len(rec.Result)*4/3
+	if rec.Spec != nil {
+		n += len(rec.Spec.Payload) * 4 / 3
+	}
+	return n
+}
+
+// appendRecord adds a record to the next group.
+func (r *Reducer) appendRecord(rec Record) {
+	r.journal.open = append(r.journal.open, rec)
+	r.journal.openBytes += rec.size()
+}
+
+// dropOpenRecords removes the records of a job that were not sent. It reports
+// whether an accept record was among them.
+func (r *Reducer) dropOpenRecords(id JobID) bool {
+	kept := r.journal.open[:0]
+	dropped := false
+	for _, rec := range r.journal.open {
+		if rec.Job == id {
+			dropped = dropped || rec.Kind == RecordAccepted
+			r.journal.openBytes -= rec.size()
+			continue
+		}
+		kept = append(kept, rec)
+	}
+	r.journal.open = kept
+	return dropped
+}
+
+// refill adds the tokens that have accrued since the last call.
+func (j *journal) refill(now Time) {
+	if j.refilled != 0 {
+		j.tokens = min(journalBurst, j.tokens+now.Sub(j.refilled).Seconds()*j.rate)
+	}
+	j.refilled = now
+}
+
+// flushJournal sends the next group if none is in flight and the rate allows it.
+func (r *Reducer) flushJournal() {
+	j := &r.journal
+	if r.owner.role != roleOwner || j.phase != journalIdle || r.now < j.retryAt {
+		return
+	}
+	j.refill(r.now)
+	if j.inFlight == nil {
+		if len(j.open) == 0 || j.tokens < 1 {
+			return
+		}
+		r.takeGroup()
+	}
+	j.tokens = max(0, j.tokens-1)
+	j.phase = journalWriting
+	key := r.journalKey(j.inFlight.Sequence)
+	r.emit(PutValue{Op: r.op(PurposeJournalWrite, key), Key: key, Value: *j.inFlight})
+}
+
+// takeGroup moves open records, as many as a group holds, into flight.
+func (r *Reducer) takeGroup() {
+	j := &r.journal
+	n, bytes := 0, 0
+	for n < len(j.open) && (n == 0 || bytes+j.open[n].size() <= maxGroupBytes) {
+		bytes += j.open[n].size()
+		n++
+	}
+	j.inFlight = &JournalGroup{
+		Epoch: r.owner.epoch, Sequence: j.sequence + 1, ID: r.rng.Uint64(),
+		Records: append([]Record(nil), j.open[:n]...),
+	}
+	j.open = append([]Record(nil), j.open[n:]...)
+	j.openBytes -= bytes
+}
+
+// onJournalAnswer settles the group in flight. A lost answer is never guessed:
+// the key is read back, and the group is written again only if it is absent.
+func (r *Reducer) onJournalAnswer(a StoreAnswered) {
+	j := &r.journal
+	if r.owner.role != roleOwner || a.Op.Purpose == PurposeJournalDelete || j.inFlight == nil {
+		return
+	}
+	key := r.journalKey(j.inFlight.Sequence)
+	if a.Op.Key != key {
+		return
+	}
+	if a.Op.Purpose == PurposeJournalReadBack {
+		r.onJournalReadBack(a)
+		return
+	}
+	switch a.Outcome {
+	case StoreOK:
+		r.commitGroup()
+	case StoreNotSent:
+		j.phase, j.retryAt = journalIdle, r.now.Add(r.jitter(journalRetry))
+	default:
+		j.phase = journalReadingBack
+		r.emit(GetValue{Op: r.op(PurposeJournalReadBack, key), Key: key})
+	}
+}
+
+// onJournalReadBack decides what became of a write whose answer was lost or that
+// met an existing key.
+func (r *Reducer) onJournalReadBack(a StoreAnswered) {
+	j := &r.journal
+	switch {
+	case a.Outcome == StoreOK && len(a.Items) == 1:
+		if g, ok := a.Items[0].Value.(JournalGroup); ok && g.ID == j.inFlight.ID {
+			r.commitGroup()
+			return
+		}
+		// A successor has opened its epoch at this key.
+		r.stepDown(ReasonStaleEpoch)
+	case a.Outcome == StoreNotFound:
+		j.phase, j.retryAt = journalIdle, r.now.Add(r.jitter(journalRetry))
+	case a.Outcome == StoreUnreadable:
+		r.stepDown(ReasonConflict)
+	default:
+		key := r.journalKey(j.inFlight.Sequence)
+		j.phase, j.retryAt = journalReadingBack, r.now.Add(r.jitter(journalRetry))
+		r.emit(GetValue{Op: r.op(PurposeJournalReadBack, key), Key: key})
+	}
+}
+
+// commitGroup makes the records of the group in flight durable.
+func (r *Reducer) commitGroup() {
+	j := &r.journal
+	g := j.inFlight
+	j.inFlight, j.phase, j.sequence = nil, journalIdle, g.Sequence
+	r.count(MetricJournal, "", "", "")
+	written := writtenGroup{sequence: g.Sequence}
+	for i := range g.Records {
+		written.jobs = append(written.jobs, g.Records[i].Job)
+	}
+	j.groups = append(j.groups, written)
+	for i := range g.Records {
+		r.onDurable(&g.Records[i])
+	}
+	r.cleanJournal()
+}
+
+// onDurable continues what waited for a record.
+func (r *Reducer) onDurable(rec *Record) {
+	if rec.Copy {
+		r.journal.copies--
+		return
+	}
+	job := r.jobs.get(rec.Job)
+	if job == nil {
+		return
+	}
+	switch rec.Kind {
+	case RecordAccepted:
+		r.onAccepted(job)
+	case RecordAssigned:
+		r.onAssignmentDurable(job, rec.Task)
+	}
+}
+
+// cleanJournal keeps the journal short: the records of live jobs in the oldest
+// groups are written again at the end, and then the groups are deleted.
+func (r *Reducer) cleanJournal() {
+	j := &r.journal
+	if j.cleaning != nil {
+		if j.copies == 0 {
+			r.deleteCleaned()
+		}
+		return
+	}
+	if len(j.groups) < cleanAfter {
+		return
+	}
+	var kept []writtenGroup
+	openings := 0
+	for i := len(j.groups) - 1; i >= 0; i-- {
+		if j.groups[i].opening {
+			openings++
+		}
+	}
+	for _, g := range j.groups {
+		if g.opening {
+			if openings--; openings < keptOpenings {
+				kept = append(kept, g)
+				continue
+			}
+		}
+		if len(j.cleaning) < cleanBatch {
+			j.cleaning = append(j.cleaning, g)
+			continue
+		}
+		kept = append(kept, g)
+	}
+	j.groups = kept
+	r.copyLiveRecords()
+}
+
+// copyLiveRecords appends the records of live jobs in the groups being cleaned.
+func (r *Reducer) copyLiveRecords() {
+	seen := map[JobID]bool{}
+	for _, g := range r.journal.cleaning {
+		for _, id := range g.jobs {
+			if seen[id] {
+				continue
+			}
+			seen[id] = true
+			if job := r.jobs.get(id); job != nil && job.journaled {
+				r.copyJob(job)
+			}
+		}
+	}
+	if r.journal.copies == 0 {
+		r.deleteCleaned()
+	}
+}
+
+// copyJob appends what a successor needs to know about a job.
+func (r *Reducer) copyJob(j *job) {
+	var records []Record
+	spec := j.spec
+	records = append(records, Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec})
+	if j.state.Final() {
+		records = append(records, j.finishedRecord())
+	}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if !j.kind.Idempotent && t.holdsCapacity() {
+			records = append(records, r.assignedRecord(j, t))
+		}
+	}
+	for _, rec := range records {
+		rec.Copy = true
+		r.journal.copies++
+		r.appendRecord(rec)
+	}
+}
+
+// deleteCleaned deletes the groups whose live records have been copied.
+func (r *Reducer) deleteCleaned() {
+	var keys []string
+	for _, g := range r.journal.cleaning {
+		keys = append(keys, r.journalKey(g.sequence))
+	}
+	r.journal.cleaning = nil
+	if len(keys) > 0 {
+		r.emit(DeleteValues{Op: r.op(PurposeJournalDelete, keys[0]), Keys: keys})
+	}
+}
+
+// Digest returns the hash of a submitted job's content.
+func Digest(team TeamName, kind KindName, payload []byte) uint64 {
+	h := fnv.New64a()
+	for _, part := range [][]byte{[]byte(team), []byte(kind), payload} {
+		// Writes to a hash return no error.
+		_, _ = h.Write(part)
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
--- a/core/journal_record.go
+++ b/core/journal_record.go
@@ -33,25 +33,20 @@
 	Refusal *Refusal
 	Result  []byte
 	At      Time
+	// Copy is set when a cleaning wrote the record again.
+	Copy bool
 }
 
-// JournalGroup is the unit that is written to the store. Its key holds the epoch
-// and the sequence number; a key is created once and never changed.
+// JournalGroup is the unit that is written to the store. The groups of a data
+// centre form one sequence; the key of a group is created once and never
+// changed. An owner writes only at the end of the sequence that it knows, so the
+// opening group of its successor takes the one key that it could still write.
 type JournalGroup struct {
 	Epoch    Epoch
 	Sequence uint64
 	// ID tells this group from another one written to the same key.
 	ID      uint64
 	Records []Record
-	// Closed marks the end of an epoch's journal, written by a successor so
-	// that the former owner can add nothing.
-	Closed bool
-}
-
-// Snapshot holds the records of all live jobs. It replaces the groups up to and
-// including Sequence of Epoch and everything of earlier epochs.
-type Snapshot struct {
-	Epoch    Epoch
-	Sequence uint64
-	Records  []Record
+	// Opening marks the first group of an epoch.
+	Opening bool
 }
--- /dev/null
+++ b/core/lifecycle.go
@@ -0,0 +1,356 @@
+package core
+
+import "slices"
+
+// onStartAnswered handles the result of one copy of a start.
+func (r *Reducer) onStartAnswered(a StartAnswered) {
+	if a.HighestEpoch > r.owner.epoch && a.Epoch == r.owner.epoch {
+		r.onHigherEpoch(a.HighestEpoch)
+		return
+	}
+	j, t := r.findTask(a.Task)
+	if t == nil || a.Epoch != r.owner.epoch || t.worker != a.Worker {
+		return
+	}
+	if t.state != taskStarting && t.state != taskUncertain {
+		return
+	}
+	switch {
+	case a.Verdict == Ran:
+		r.taskStarted(j, t)
+	case a.Verdict == NotRun && (!t.doubtful || (a.Answered && r.copiesExpired(t))):
+		r.startRefused(j, t, a.Reason)
+	case a.Answered:
+		r.resendAt(j, t, t.doubtAt.Add(startWindow+startResend))
+	default:
+		// This copy may still arrive. The same attempt is sent again, which
+		// a worker starts only once.
+		if a.Verdict == MayHaveRun {
+			t.doubtful, t.doubtAt = true, t.sent
+		}
+		r.resendAt(j, t, r.now.Add(startResend))
+	}
+}
+
+// copiesExpired reports whether the worker now refuses every earlier copy of the
+// start because its latest start time has passed.
+func (r *Reducer) copiesExpired(t *task) bool {
+	return t.sent.Sub(t.doubtAt) >= startWindow+startResend
+}
+
+// resendAt sends the start of t again at a later time.
+func (r *Reducer) resendAt(j *job, t *task, at Time) {
+	t.state, t.resend = taskUncertain, at
+	r.jobs.resend = append(r.jobs.resend, taskKey{j.spec.ID, t.index})
+}
+
+// tickResends sends starts again whose fate is not known.
+func (r *Reducer) tickResends() {
+	due := r.jobs.resend
+	r.jobs.resend = nil
+	for _, key := range due {
+		j := r.jobs.get(key.job)
+		if j == nil {
+			continue
+		}
+		t := &j.tasks[key.task]
+		switch {
+		case t.state != taskUncertain || t.resend == 0:
+		case r.now < t.resend:
+			r.jobs.resend = append(r.jobs.resend, key)
+		default:
+			t.resend = 0
+			r.sendStart(j, t)
+		}
+	}
+}
+
+// findTask returns the task that ref names if its attempt is the current one.
+func (r *Reducer) findTask(ref TaskRef) (*job, *task) {
+	j := r.jobs.get(ref.Job)
+	if j == nil || ref.Task < 0 || ref.Task >= len(j.tasks) || j.tasks[ref.Task].attempt != ref.Attempt {
+		return j, nil
+	}
+	return j, &j.tasks[ref.Task]
+}
+
+// taskStarted notes that a worker runs the task.
+func (r *Reducer) taskStarted(j *job, t *task) {
+	if t.state == taskRunning {
+		return
+	}
+	t.state, t.started, t.doubtful, t.resend = taskRunning, r.now, false, 0
+	j.began = true
+	if !j.state.Final() && !j.hasTaskIn(taskStarting) && !j.hasTaskIn(taskUncertain) {
+		j.state = JobRunning
+		r.jobs.note(j, r.now, "running", t.worker)
+	}
+	if j.cancelled {
+		r.signal(j, t, SignalStop)
+	}
+}
+
+// startRefused returns the room of a task that surely did not start.
+func (r *Reducer) startRefused(j *job, t *task, reason Reason) {
+	r.releaseTask(j, t, taskWaiting)
+	r.count(MetricRetries, reason, j.spec.Team, j.spec.Kind)
+	if j.cancelled {
+		r.endUnstarted(j)
+		return
+	}
+	r.requeue(j)
+}
+
+// releaseTask returns what a task holds and sets its state.
+func (r *Reducer) releaseTask(j *job, t *task, state taskState) {
+	r.fleet.unassign(j, t)
+	t.state, t.worker, t.doubtful, t.resend, t.stopping = state, "", false, 0, false
+}
+
+// hasTaskIn reports whether any task of j is in the state.
+func (j *job) hasTaskIn(s taskState) bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.state == s })
+}
+
+// requeue puts a job with waiting tasks back into its queue.
+func (r *Reducer) requeue(j *job) {
+	if j.state.Final() || !j.hasTaskIn(taskWaiting) {
+		return
+	}
+	if j.cancelled && !j.runsSomewhere() {
+		r.endUnstarted(j)
+		return
+	}
+	if j.kind.RestartGang && j.runsSomewhere() {
+		// The gang starts again as a whole once its other members stopped.
+		r.stopTasks(j)
+		return
+	}
+	if !j.runsSomewhere() {
+		j.state = JobQueued
+	}
+	if j.notBefore > r.now {
+		r.queues.delayed.add(j.notBefore, j.spec.ID)
+		return
+	}
+	r.queues.push(j)
+}
+
+// runsSomewhere reports whether any task of j holds capacity.
+func (j *job) runsSomewhere() bool {
+	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.holdsCapacity() })
+}
+
+// onTaskReport applies what a worker says about one task.
+func (r *Reducer) onTaskReport(w *worker, rep *TaskReport) {
+	j, t := r.findTask(rep.Task)
+	if t == nil || t.state == taskDone || (t.holdsCapacity() && t.worker != w.id) {
+		r.onOrphanReport(w, rep)
+		return
+	}
+	if !t.holdsCapacity() {
+		if j.state != JobSettling {
+			r.onOrphanReport(w, rep)
+			return
+		}
+		// A restored idempotent task, found where it runs or ran.
+		r.fleet.assign(w, j, t, rep.Requested)
+	}
+	if rep.State == ReportedRunning {
+		r.onThrottled(j, t, rep.Throttled)
+	}
+	if rep.Checkpoint != "" {
+		t.checkpoint = rep.Checkpoint
+	}
+	if rep.State == ReportedRunning {
+		r.taskStarted(j, t)
+		r.kinds.noteUse(j, rep.Used)
+		return
+	}
+	r.taskEnded(w, j, t, rep)
+}
+
+// onOrphanReport handles a task that belongs to no live job. While it runs, its
+// room counts as assigned; an owner stops it. A standby has no journal and lets
+// it run.
+func (r *Reducer) onOrphanReport(w *worker, rep *TaskReport) {
+	if rep.State != ReportedRunning {
+		r.fleet.removeOrphan(w, rep.Task)
+		return
+	}
+	if r.adoptFromReport(w, rep) {
+		return
+	}
+	r.fleet.addOrphan(w, rep.Task, rep.Requested)
+	if r.owner.role == roleOwner {
+		r.emit(SignalTask{
+			Worker: w.id, Address: w.address, Epoch: r.owner.epoch, Task: rep.Task, Signal: SignalStop,
+		})
+	}
+}
+
+// adoptFromReport raises the attempt of a restored task to the one that is
+// found running. An owner that died may have used attempts that are in no record.
+func (r *Reducer) adoptFromReport(w *worker, rep *TaskReport) bool {
+	j := r.jobs.get(rep.Task.Job)
+	if j == nil || j.state != JobSettling || rep.Task.Task >= len(j.tasks) {
+		return false
+	}
+	t := &j.tasks[rep.Task.Task]
+	if t.holdsCapacity() || rep.Task.Attempt <= t.attempt || t.state == taskDone {
+		return false
+	}
+	t.attempt = rep.Task.Attempt
+	t.state = taskStarting
+	r.fleet.assign(w, j, t, rep.Requested)
+	r.taskStarted(j, t)
+	return true
+}
+
+// taskEnded handles the end of an attempt.
+func (r *Reducer) taskEnded(w *worker, j *job, t *task, rep *TaskReport) {
+	wasStopping := t.stopping
+	r.releaseTask(j, t, taskWaiting)
+	r.kinds.noteEnd(j, rep)
+	switch rep.State {
+	case ReportedSucceeded:
+		r.noteSuccess(w)
+		t.state = taskDone
+		j.result = rep.Result
+		r.endIfComplete(j)
+	case ReportedFailed:
+		r.noteFailure(w, j)
+		t.failedOn = append(t.failedOn, w.id)
+		j.failures++
+		r.afterFailure(j, rep)
+	default:
+		r.afterStop(j, t, wasStopping, rep)
+	}
+}
+
+// endIfComplete finishes a job whose tasks have all succeeded.
+func (r *Reducer) endIfComplete(j *job) {
+	for i := range j.tasks {
+		if j.tasks[i].state != taskDone {
+			return
+		}
+	}
+	if j.service != "" {
+		// A replica that ends by itself is started again.
+		j.tasks[0].state = taskWaiting
+		r.retryLater(j)
+		return
+	}
+	r.finish(j, JobSucceeded, nil)
+}
+
+// finish ends a job for good.
+func (r *Reducer) finish(j *job, state JobState, ref *Refusal) {
+	if j.state.Final() {
+		return
+	}
+	r.queues.remove(j)
+	r.reserve.drop(r, j.spec.ID)
+	j.state, j.refusal, j.ended = state, ref, r.now
+	for i := range j.tasks {
+		if t := &j.tasks[i]; !t.holdsCapacity() {
+			t.state = taskDone
+		}
+	}
+	r.jobs.unfinished--
+	if j.team != nil && j.service == "" {
+		j.team.queued--
+	}
+	r.jobs.note(j, r.now, state.String(), "")
+	if j.journaled {
+		r.appendRecord(j.finishedRecord())
+	}
+	reason := Reason(state.String())
+	if ref != nil {
+		reason = ref.Reason
+	}
+	r.count(MetricFinished, reason, j.spec.Team, j.spec.Kind)
+	r.answerWaiters(j)
+	r.jobs.schedule(j)
+}
+
+// answerWaiters tells everyone who waits for the job.
+func (r *Reducer) answerWaiters(j *job) {
+	for _, id := range append(j.submitters, j.waiters...) {
+		delete(r.jobs.waiting, id)
+		r.emit(Reply{Request: id, Status: j.status(r.now)})
+	}
+	j.submitters, j.waiters = nil, nil
+}
+
+// finishedRecord is the journal record of a final outcome.
+func (j *job) finishedRecord() Record {
+	return Record{
+		Kind: RecordFinished, Job: j.spec.ID, State: j.state, Refusal: j.refusal,
+		Result: j.result, At: j.ended,
+	}
+}
+
+// endUnstarted ends a cancelled or expired job none of whose tasks runs.
+func (r *Reducer) endUnstarted(j *job) {
+	switch {
+	case j.cancelled:
+		r.endUnstartedBecause(j, ReasonCancelled, "cancelled by its caller")
+	case r.now >= j.deadline():
+		r.endUnstartedBecause(j, ReasonDeadline, "did not end in time")
+	default:
+		r.endUnstartedBecause(j, ReasonStartDeadline, "did not start in time")
+	}
+}
+
+// endUnstartedBecause ends a job none of whose tasks runs. It has not run unless
+// an earlier attempt began.
+func (r *Reducer) endUnstartedBecause(j *job, reason Reason, message string) {
+	if j.runsSomewhere() {
+		r.stopTasks(j)
+		return
+	}
+	ref := refuse(reason, "job %q: %s", j.spec.ID, message)
+	state := JobRefused
+	if j.began {
+		ref.Verdict = Ran
+		state = JobFailed
+	}
+	if reason == ReasonCancelled {
+		state = JobCancelled
+	}
+	r.finish(j, state, ref)
+}
+
+// stopTasks asks the workers of all tasks of j to stop. Tasks that wait for
+// their journal record have not been sent and are released at once.
+func (r *Reducer) stopTasks(j *job) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		switch t.state {
+		case taskAssigned:
+			r.releaseTask(j, t, taskWaiting)
+		case taskRunning:
+			if !t.stopping {
+				r.signal(j, t, SignalStop)
+			}
+		}
+	}
+	if !j.runsSomewhere() {
+		r.requeue(j)
+	}
+}
+
+// signal sends a signal to the worker of a running task.
+func (r *Reducer) signal(j *job, t *task, s Signal) {
+	w := r.fleet.get(t.worker)
+	if w == nil {
+		return
+	}
+	if s == SignalStop || s == SignalCheckpoint {
+		t.stopping = true
+	}
+	r.emit(SignalTask{
+		Worker: w.id, Address: w.address, Epoch: r.owner.epoch, Task: j.ref(t), Signal: s,
+	})
+}
--- a/core/member.go
+++ b/core/member.go
@@ -13,23 +13,31 @@
 	// Acknowledged is the version of the receiver's grants that the sender
 	// has in force.
 	Acknowledged uint64
+	// AckEpoch is the epoch of the grants that the sender has in force.
+	AckEpoch Epoch
+	// HighestEpoch is the highest epoch that the sender has heard of. It
+	// tells an owner that is cut off from its successor that it has one.
+	HighestEpoch Epoch
 	// GrantVersion, Grants and GrantFor are what an owner gives the receiver.
 	GrantVersion uint64
 	Grants       []Grant
-	GrantFor     time.Duration
+	// GrantsWhole is set when Grants is the whole list, even if it is empty.
+	// Heartbeats of an unchanged version leave the list out.
+	GrantsWhole bool
+	GrantFor    time.Duration
 	// Calls is the sender's use of grants and its waiting requests.
 	Calls []CallReport
-	// Documents carries versions that the receiver may lack.
-	Documents []DocumentVersion
-	// Revisions tells which revisions the sender has in force.
-	Revisions []TeamRevision
-	Draining  bool
-}
-
-// TeamRevision names the revision of a team's document.
-type TeamRevision struct {
-	Team     TeamName
-	Revision Revision
+	// DocumentDigest is a digest over the revisions that the sender has in
+	// force. A list of them would cost 3.6 KB/s with 120 teams.
+	DocumentDigest uint64
+	// NeedDocuments asks the receiver for all documents. A host asks after
+	// its start, since the store's answer may be older than what its peers
+	// have in force.
+	NeedDocuments bool
+	// Standby and StandbyEpoch are those of the owner's record.
+	Standby      HostID
+	StandbyEpoch Epoch
+	Draining     bool
 }
 
 // Summary is what the owners of data centres tell each other.
--- /dev/null
+++ b/core/ownership.go
@@ -0,0 +1,354 @@
+package core
+
+import (
+	"strconv"
+	"time"
+)
+
+// role is what this host is to its data centre.
+type role uint8
+
+const (
+	// roleFollower owns nothing.
+	roleFollower role = iota
+	// roleClaiming tries to become the owner.
+	roleClaiming
+	// roleRecovering owns the record and reads the journal.
+	roleRecovering
+	// roleOwner schedules the data centre's workers.
+	roleOwner
+	// roleStandby schedules without a journal while the store cannot be
+	// reached and the owner is silent.
+	roleStandby
+)
+
+var roleNames = [...]string{"follower", "claiming", "recovering", "owner", "standby"}
+
+// String implements fmt.Stringer.
+func (o role) String() string { return roleNames[o] }
+
+const (
+	// ownerSilence is how long the owner's heartbeat may be missing before a
+	// follower asks the store about the lease.
+	ownerSilence = 3 * time.Second
+	// standbySilence is how long the owner must be silent before the standby
+	// takes over without the store. It exceeds the owner's lease, so a
+	// takeover through the store is always tried first.
+	standbySilence = 10 * time.Second
+	// leasePoll is how often a follower reads the lease of a silent owner.
+	leasePoll = time.Second
+	// leasePollWithOwner is how often a follower reads the owner's record
+	// while it hears the owner.
+	leasePollWithOwner = 15 * time.Second
+	// renewEvery is how often the owner renews its lease: three tries within
+	// a lease.
+	renewEvery = 2 * time.Second
+	// leaseMargin is kept free before the end of the lease.
+	leaseMargin = time.Second
+	// claimTimeout ends a claim that got no answer.
+	claimTimeout = 5 * time.Second
+	// epochStep leaves room for the epoch of the standby.
+	epochStep = 2
+)
+
+// ownership tracks who owns the data centre's workers.
+//
+// Invariant: epoch is nonzero exactly while role is recovering, owner or
+// standby, and no other host was ever given the same epoch.
+type ownership struct {
+	role  role
+	epoch Epoch
+	// record is the latest owner record that was read or written.
+	record         OwnerRecord
+	recordRevision int64
+	lease          LeaseID
+	// renewed is when the last successful renewal was sent.
+	renewed   Time
+	nextRenew Time
+	nextPoll  Time
+	claimed   Time
+	// ownerHeard is when a heartbeat of an owner last arrived.
+	ownerHeard   Time
+	ownerHost    HostID
+	ownerAddress string
+	ownerEpoch   Epoch
+	standby      HostID
+	standbyEpoch Epoch
+	// storeFailed is when the store first failed without a success since.
+	storeFailed Time
+}
+
+// active reports whether this host schedules workers.
+func (o *ownership) active() bool { return o.role == roleOwner || o.role == roleStandby }
+
+// noteStore remembers whether the store can be reached.
+func (o *ownership) noteStore(outcome StoreOutcome, now Time) {
+	if outcome != StoreNotSent && outcome != StoreInDoubt {
+		o.storeFailed = 0
+	} else if o.storeFailed == 0 {
+		o.storeFailed = now
+	}
+}
+
+// leaseValid reports whether the owner's lease surely holds at now.
+func (r *Reducer) leaseValid() bool {
+	return r.owner.lease != "" && r.now.Sub(r.owner.renewed) < r.cfg.OwnerLease-leaseMargin
+}
+
+func (r *Reducer) cellKey(name string) string {
+	return "cells/" + string(r.cfg.DataCentre) + "/" + name
+}
+
+// tickOwnership renews the lease of an owner and looks for a lost one.
+func (r *Reducer) tickOwnership() {
+	if r.draining {
+		return
+	}
+	switch r.owner.role {
+	case roleFollower:
+		r.tickFollower()
+	case roleClaiming, roleRecovering:
+		if r.now.Sub(r.owner.claimed) > claimTimeout {
+			r.stepDown(ReasonStoreUnavailable)
+		}
+	case roleOwner, roleStandby:
+		r.tickLease()
+	}
+}
+
+// tickFollower polls the lease, more often while the owner is silent.
+func (r *Reducer) tickFollower() {
+	o := &r.owner
+	if o.nextPoll == 0 {
+		// Spreads the first claims of hosts that start together.
+		o.nextPoll = r.now.Add(r.jitter(leasePoll / 2))
+		o.ownerHeard = r.now
+		return
+	}
+	silent := r.now.Sub(o.ownerHeard)
+	if r.isStandby() && silent > standbySilence && o.storeFailed != 0 {
+		r.becomeStandbyOwner()
+		return
+	}
+	if r.now < o.nextPoll {
+		return
+	}
+	period := leasePoll
+	if silent < ownerSilence && o.ownerHost != "" {
+		period = leasePollWithOwner
+	}
+	o.nextPoll = r.now.Add(r.jitter(period))
+	r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("lease")), Key: r.cellKey("lease")})
+}
+
+// tickLease renews the lease, or claims again after it was lost.
+func (r *Reducer) tickLease() {
+	o := &r.owner
+	if r.now < o.nextRenew {
+		return
+	}
+	o.nextRenew = r.now.Add(renewEvery)
+	if o.lease == "" {
+		r.emit(GrantLease{Op: r.op(PurposeLeaseGrant, ""), TimeToLive: r.cfg.OwnerLease})
+		return
+	}
+	r.emit(RenewLease{Op: r.op(PurposeLeaseRenew, string(o.lease)), Lease: o.lease})
+}
+
+func (r *Reducer) isStandby() bool {
+	return r.owner.standby == r.cfg.Host && r.owner.standbyEpoch > r.owner.ownerEpoch
+}
+
+// onOwnershipAnswer advances a claim or a renewal. A claim goes through the
+// lease key first, which only one host can create, and then the owner record.
+func (r *Reducer) onOwnershipAnswer(a StoreAnswered) {
+	switch a.Op.Purpose {
+	case PurposeOwnerRead:
+		r.onOwnerRead(a)
+	case PurposeLeaseGrant:
+		r.onLeaseGranted(a)
+	case PurposeLeaseKey:
+		r.onLeaseKey(a)
+	case PurposeOwnerSwap:
+		r.onOwnerSwapped(a)
+	case PurposeLeaseRenew:
+		r.onLeaseRenewed(a)
+	}
+}
+
+// onOwnerRead handles reads of the lease key and of the owner record.
+func (r *Reducer) onOwnerRead(a StoreAnswered) {
+	o := &r.owner
+	if a.Op.Key == r.cellKey("owner") {
+		r.onOwnerRecord(a)
+		return
+	}
+	if a.Outcome != StoreNotFound || o.role != roleFollower || r.draining {
+		return
+	}
+	o.role, o.claimed = roleClaiming, r.now
+	r.emit(GrantLease{Op: r.op(PurposeLeaseGrant, ""), TimeToLive: r.cfg.OwnerLease})
+}
+
+func (r *Reducer) onLeaseGranted(a StoreAnswered) {
+	o := &r.owner
+	if a.Outcome != StoreOK || o.role == roleFollower {
+		r.abandonClaim()
+		return
+	}
+	o.lease, o.renewed = a.Lease, a.Op.Sent
+	r.emit(PutValue{
+		Op: r.op(PurposeLeaseKey, r.cellKey("lease")), Key: r.cellKey("lease"),
+		Value: LeaseRecord{Host: r.cfg.Host, Incarnation: r.cfg.Incarnation}, Lease: a.Lease,
+	})
+}
+
+func (r *Reducer) onLeaseKey(a StoreAnswered) {
+	if a.Outcome != StoreOK {
+		// Another host holds the key, or the answer was lost and our own
+		// lease holds it until it lapses.
+		if r.owner.active() && a.Outcome == StoreConflict {
+			r.owner.lease = ""
+			return
+		}
+		r.abandonClaim()
+		return
+	}
+	r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
+}
+
+// onOwnerRecord decides, holding the lease key, whether to swap the record.
+func (r *Reducer) onOwnerRecord(a StoreAnswered) {
+	o := &r.owner
+	if a.Outcome != StoreOK && a.Outcome != StoreNotFound {
+		r.abandonClaim()
+		return
+	}
+	o.record, o.recordRevision = OwnerRecord{}, 0
+	if len(a.Items) > 0 {
+		if rec, ok := a.Items[0].Value.(OwnerRecord); ok {
+			o.record, o.recordRevision = rec, a.Items[0].Revision
+		}
+	}
+	mine := o.record.Host == r.cfg.Host && o.record.Incarnation == r.cfg.Incarnation
+	switch {
+	case o.role == roleOwner && mine && o.record.Epoch == o.epoch:
+		return // The lease was lost and is ours again; nobody took over.
+	case o.role == roleOwner:
+		r.stepDown(ReasonStaleEpoch)
+	case o.role == roleClaiming || o.role == roleStandby:
+		r.swapOwner()
+	}
+}
+
+// swapOwner writes the owner record with the next epoch.
+func (r *Reducer) swapOwner() {
+	next := r.owner.record.Epoch + epochStep
+	next -= next % epochStep
+	rec := OwnerRecord{
+		Epoch: next, Host: r.cfg.Host, Incarnation: r.cfg.Incarnation, Address: r.cfg.Address,
+		Standby: r.chooseStandby(), StandbyEpoch: next + 1,
+	}
+	r.emit(PutValue{
+		Op: r.op(PurposeOwnerSwap, r.cellKey("owner")), Key: r.cellKey("owner"),
+		Value: rec, IfRevision: r.owner.recordRevision,
+	})
+	r.owner.record = rec
+}
+
+func (r *Reducer) onOwnerSwapped(a StoreAnswered) {
+	o := &r.owner
+	if o.role != roleClaiming && o.role != roleStandby {
+		return
+	}
+	if a.Outcome != StoreOK {
+		// The swap may have taken effect. Claiming again reads the record
+		// and goes on from whatever epoch it holds.
+		r.abandonClaim()
+		return
+	}
+	if o.role == roleStandby {
+		r.dropCellState(ReasonStaleEpoch)
+	}
+	o.recordRevision = a.Revision
+	o.epoch = o.record.Epoch
+	o.role, o.claimed = roleRecovering, r.now
+	o.ownerHost, o.ownerAddress, o.ownerEpoch = r.cfg.Host, r.cfg.Address, o.epoch
+	o.standby, o.standbyEpoch = o.record.Standby, o.record.StandbyEpoch
+	r.startRecovery()
+}
+
+func (r *Reducer) onLeaseRenewed(a StoreAnswered) {
+	o := &r.owner
+	if string(o.lease) != a.Op.Key {
+		return
+	}
+	switch a.Outcome {
+	case StoreOK:
+		o.renewed = max(o.renewed, a.Op.Sent)
+	case StoreNotFound:
+		o.lease, o.nextRenew = "", r.now
+	}
+}
+
+// abandonClaim gives up a claim; the next poll starts another one. An active
+// owner goes on, since workers decide by epoch whom they obey.
+func (r *Reducer) abandonClaim() {
+	o := &r.owner
+	if o.lease != "" {
+		r.emit(RevokeLease{Op: r.op(PurposeLeaseRevoke, string(o.lease)), Lease: o.lease})
+		o.lease = ""
+	}
+	if o.role == roleClaiming {
+		o.role = roleFollower
+		o.nextPoll = r.now.Add(r.jitter(leasePoll))
+	}
+}
+
+// becomeStandbyOwner takes over with the epoch that the owner's record reserved
+// for this host. Workers that obey the owner's next epoch refuse this one.
+func (r *Reducer) becomeStandbyOwner() {
+	o := &r.owner
+	o.role, o.epoch = roleStandby, o.standbyEpoch
+	o.ownerHost, o.ownerAddress, o.ownerEpoch = r.cfg.Host, r.cfg.Address, o.epoch
+	o.nextRenew = r.now.Add(renewEvery)
+	r.count(MetricTakeovers, ReasonStoreUnavailable, "", "")
+	r.emit(Log{Level: LogWarn, Message: "standby takes over without the store", Epoch: o.epoch})
+	r.beginFencing()
+}
+
+// stepDown makes this host a follower and forgets all state of the cell.
+func (r *Reducer) stepDown(reason Reason) {
+	r.emit(Log{Level: LogWarn, Message: "stepping down", Epoch: r.owner.epoch, Reason: reason})
+	r.dropCellState(reason)
+	o := &r.owner
+	if o.lease != "" {
+		r.emit(RevokeLease{Op: r.op(PurposeLeaseRevoke, string(o.lease)), Lease: o.lease})
+	}
+	*o = ownership{
+		nextPoll: r.now.Add(r.jitter(leasePoll)), ownerHeard: o.ownerHeard,
+		ownerEpoch: o.ownerEpoch, storeFailed: o.storeFailed,
+	}
+}
+
+// dropCellState answers every open request about jobs and forgets the jobs.
+func (r *Reducer) dropCellState(reason Reason) {
+	r.parkOpenRequests(reason)
+	r.jobs = newJobTable()
+	r.queues = newQueues()
+	r.journal = newJournal(r.cfg.JournalRate)
+	r.reserve = newReservations()
+	r.grants = newGrantTable()
+	r.fleet.forget()
+	r.emit(SetGrants{})
+}
+
+// journalKey is the store key of a journal group.
+func (r *Reducer) journalKey(sequence uint64) string {
+	const width = 12 // keeps the order of keys equal to the order of numbers
+	s := strconv.FormatUint(sequence, 10)
+	for len(s) < width {
+		s = "0" + s
+	}
+	return r.cellKey("journal/" + s)
+}
--- /dev/null
+++ b/core/peers.go
@@ -0,0 +1,238 @@
+package core
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// heartbeatPeriod is the time between two heartbeats to a peer.
+	heartbeatPeriod = time.Second
+	// summaryNear and summaryFar are the times between two summaries to
+	// other data centres, within a region and across regions.
+	summaryNear = time.Second
+	summaryFar  = 5 * time.Second
+	// hostListPeriod is how often an owner reads the platform's host list.
+	// Together with a sync it keeps new work off a leaving worker within 3 s.
+	hostListPeriod = time.Second
+	// hostListSlow is how often other hosts read it.
+	hostListSlow = 10 * time.Second
+)
+
+// peer is another entry host of the data centre.
+type peer struct {
+	host      ListedHost
+	heard     Time
+	last      Heartbeat
+	sentGrant uint64
+}
+
+// remote is the owner of another data centre.
+type remote struct {
+	summary Summary
+	heard   Time
+	sent    Time
+}
+
+// peers holds the other hosts.
+type peers struct {
+	list    []*peer
+	remotes []*remote
+	// others are entry hosts of other data centres.
+	others []ListedHost
+	// heard is when any peer was last heard, and expected is set when the
+	// platform lists another host of the data centre.
+	heard    Time
+	expected bool
+	nextBeat Time
+	nextList Time
+	listed   bool
+}
+
+func newPeers() peers { return peers{} }
+
+func (p *peers) get(id HostID) *peer {
+	for _, o := range p.list {
+		if o.host.ID == id {
+			return o
+		}
+	}
+	return nil
+}
+
+// isDraining reports whether a host of the data centre is about to stop.
+func (p *peers) isDraining(id HostID) bool {
+	o := p.get(id)
+	return o != nil && (o.last.Draining || o.host.Leaving)
+}
+
+// onHostsListed takes over the platform's list.
+func (r *Reducer) onHostsListed(l HostsListed) {
+	r.peers.listed = true
+	var mine []ListedWorker
+	for _, w := range l.Workers {
+		if w.DataCentre == r.cfg.DataCentre {
+			mine = append(mine, w)
+		}
+	}
+	for _, w := range r.fleet.update(mine) {
+		if r.owner.active() && len(w.placements) > 0 && w.sync.failing != 0 {
+			// The platform has removed a worker that does not answer.
+			r.loseTasks(w, false)
+		}
+	}
+	r.peers.update(r.cfg, l.Hosts)
+}
+
+// update takes over the listed entry hosts.
+func (p *peers) update(cfg Config, listed []ListedHost) {
+	var list []*peer
+	p.others = p.others[:0]
+	for _, h := range listed {
+		if h.ID == cfg.Host {
+			continue
+		}
+		if h.DataCentre != cfg.DataCentre {
+			p.others = append(p.others, h)
+			continue
+		}
+		o := p.get(h.ID)
+		if o == nil {
+			o = &peer{}
+		}
+		o.host = h
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b *peer) int {
+		return strings.Compare(string(a.host.ID), string(b.host.ID))
+	})
+	p.list, p.expected = list, len(list) > 0
+}
+
+// tickHostList reads the platform's list when it is due.
+func (r *Reducer) tickHostList() {
+	if r.now < r.peers.nextList {
+		return
+	}
+	period := hostListPeriod
+	if !r.owner.active() && r.peers.listed {
+		period = r.jitter(hostListSlow)
+	}
+	r.peers.nextList = r.now.Add(period)
+	r.emit(ListHosts{})
+}
+
+// tickPeers sends heartbeats and summaries that are due.
+func (r *Reducer) tickPeers() {
+	if r.now < r.peers.nextBeat {
+		return
+	}
+	r.peers.nextBeat = r.now.Add(heartbeatPeriod)
+	for _, p := range r.peers.list {
+		r.emit(SendHeartbeat{Address: p.host.Address, Heartbeat: r.heartbeatFor(p)})
+	}
+	if r.owner.role == roleOwner {
+		r.sendSummaries()
+	}
+}
+
+// heartbeatFor builds the heartbeat for one peer.
+func (r *Reducer) heartbeatFor(p *peer) Heartbeat {
+	o := &r.owner
+	hb := Heartbeat{
+		From: r.cfg.Host, Address: r.cfg.Address, Incarnation: r.cfg.Incarnation,
+		HighestEpoch: max(o.epoch, o.ownerEpoch), DocumentDigest: r.docs.digest(),
+		NeedDocuments: !r.docs.confirmed, Draining: r.draining,
+	}
+	if !o.active() {
+		hb.Acknowledged, hb.AckEpoch = r.grants.localAck, r.grants.ackEpoch
+		hb.Calls = r.grants.localCalls
+		return hb
+	}
+	hb.Owner, hb.Epoch = true, o.epoch
+	hb.Standby, hb.StandbyEpoch = o.standby, o.standbyEpoch
+	h := r.grants.of(p.host.ID)
+	hb.GrantVersion, hb.GrantFor = h.version, r.cfg.GrantFor
+	if h.version != h.acked || r.now.Sub(p.heard) > peerSilence {
+		hb.Grants, hb.GrantsWhole = h.list(&r.fleet), true
+	}
+	return hb
+}
+
+// onPeerHeard takes over a heartbeat.
+func (r *Reducer) onPeerHeard(hb Heartbeat) {
+	if hb.From == r.cfg.Host {
+		return
+	}
+	p := r.peers.get(hb.From)
+	if p == nil {
+		// The platform's list lags behind; the peer is known by its word.
+		p = &peer{host: ListedHost{
+			ID: hb.From, Address: hb.Address, DataCentre: r.cfg.DataCentre, Region: r.cfg.Region,
+		}}
+		r.peers.list = append(r.peers.list, p)
+		r.peers.expected = true
+	}
+	if hb.Incarnation < p.last.Incarnation {
+		return // Sent before the peer's restart and late.
+	}
+	p.heard, p.last, r.peers.heard = r.now, hb, r.now
+	r.noteOwner(p, &hb)
+	if r.owner.active() && !hb.Owner {
+		r.noteUse(r.grants.of(hb.From), hb.Acknowledged, hb.AckEpoch, hb.Calls)
+	}
+	r.exchangeDocuments(p, &hb)
+}
+
+// noteOwner learns from a heartbeat who owns the data centre.
+func (r *Reducer) noteOwner(p *peer, hb *Heartbeat) {
+	o := &r.owner
+	if o.active() && max(hb.Epoch, hb.HighestEpoch) > o.epoch {
+		r.onHigherEpoch(max(hb.Epoch, hb.HighestEpoch))
+	}
+	if !hb.Owner {
+		if hb.From == o.ownerHost {
+			// The former owner has stepped down or drains.
+			o.ownerHost, o.ownerAddress = "", ""
+			o.nextPoll = min(o.nextPoll, r.now)
+		}
+		return
+	}
+	if hb.Epoch < o.ownerEpoch || o.active() {
+		return
+	}
+	o.ownerHost, o.ownerAddress, o.ownerEpoch, o.ownerHeard = hb.From, p.host.Address, hb.Epoch, r.now
+	o.standby, o.standbyEpoch = hb.Standby, hb.StandbyEpoch
+	r.onGrantsFromOwner(hb)
+}
+
+// chooseStandby returns the live peer that is to take over without the store.
+func (r *Reducer) chooseStandby() HostID {
+	for _, p := range r.peers.list {
+		if r.now.Sub(p.heard) < peerSilence && !p.last.Draining && !p.host.Leaving {
+			return p.host.ID
+		}
+	}
+	return ""
+}
+
+// sendSummaries tells the owners of other data centres what is free here. As
+// long as the owner of a data centre is not known, its hosts are asked in turn.
+func (r *Reducer) sendSummaries() {
+	s := r.summary()
+	for i, h := range r.peers.others {
+		m := r.remoteOf(h.DataCentre)
+		if m != nil && m.summary.From != h.ID && r.now.Sub(m.heard) < remoteSilence {
+			continue
+		}
+		period := summaryFar
+		if h.Region == r.cfg.Region {
+			period = summaryNear
+		}
+		beat := int64(r.now)/int64(heartbeatPeriod) + int64(i)
+		if beat%int64(period/heartbeatPeriod) == 0 {
+			r.emit(SendSummary{Address: h.Address, Summary: s})
+		}
+	}
+}
--- /dev/null
+++ b/core/preempt.go
@@ -0,0 +1,280 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// preemptSample bounds the workers looked at for one preemption.
+	preemptSample = 64
+	// preemptTime is how long room that was made by preemption is kept for
+	// the job that it was made for.
+	preemptTime = 5 * time.Second
+	// throttledShare is the part of its processors that a throttled task
+	// keeps.
+	throttledShare = 2
+	// unthrottleEvery is how often throttled tasks are looked at.
+	unthrottleEvery = time.Second
+)
+
+// victim is one act against a running task.
+type victim struct {
+	placement
+	signal Signal
+	// freed is what the act returns.
+	freed Resources
+	// lost is the work that the act throws away.
+	lost time.Duration
+}
+
+// preemptionPlan makes room on one worker.
+type preemptionPlan struct {
+	worker  *worker
+	victims []victim
+}
+
+// cost orders plans: throttling before checkpoints before stops, and then the
+// least lost work.
+func (p *preemptionPlan) cost() (worst Signal, lost time.Duration) {
+	worst = SignalThrottle
+	for _, v := range p.victims {
+		if severity(v.signal) > severity(worst) {
+			worst = v.signal
+		}
+		lost += v.lost
+	}
+	return worst, lost
+}
+
+// severity orders the signals by what they cost the preempted task.
+func severity(s Signal) int {
+	switch s {
+	case SignalThrottle:
+		return 0
+	case SignalCheckpoint:
+		return 1
+	}
+	return 2
+}
+
+// claim is what room is made for.
+type claim struct {
+	id      JobID
+	team    *team
+	urgency Urgency
+	need    Resources
+}
+
+// preemptFor makes room for the waiting tasks of an urgent job. It reports
+// whether room is on its way.
+func (r *Reducer) preemptFor(j *job) bool {
+	c := claim{id: j.spec.ID, team: j.team, urgency: j.kind.Urgency, need: j.kind.Request}
+	var plans []preemptionPlan
+	taken := map[WorkerID]bool{}
+	for i := range j.tasks {
+		if j.tasks[i].state != taskWaiting {
+			continue
+		}
+		plan, ok := r.planPreemption(&c, taken)
+		if !ok {
+			return false
+		}
+		taken[plan.worker.id] = true
+		plans = append(plans, plan)
+	}
+	r.carryOut(&c, plans)
+	r.jobs.note(j, r.now, "preempting less urgent work", plans[0].worker.id)
+	return true
+}
+
+// planPreemption returns the plan that costs the least among a sample of
+// workers.
+func (r *Reducer) planPreemption(c *claim, taken map[WorkerID]bool) (preemptionPlan, bool) {
+	var best preemptionPlan
+	n := len(r.fleet.workers)
+	if n == 0 {
+		return best, false
+	}
+	from := r.rng.IntN(n)
+	for i := range min(n, preemptSample) {
+		w := r.fleet.workers[(from+i)%n]
+		if !w.isUsable() || w.reservedBy != "" || taken[w.id] || !c.need.Fits(w.capacity) {
+			continue
+		}
+		plan, ok := r.planOn(c, w)
+		if ok && (best.worker == nil || plan.cheaper(&best)) {
+			best = plan
+		}
+	}
+	return best, best.worker != nil
+}
+
+// cheaper reports whether p costs less than o.
+func (p *preemptionPlan) cheaper(o *preemptionPlan) bool {
+	ps, pl := p.cost()
+	os, ol := o.cost()
+	if severity(ps) != severity(os) {
+		return severity(ps) < severity(os)
+	}
+	return pl < ol
+}
+
+// planOn picks victims on one worker until the claim fits. Milder acts are tried
+// alone before harsher ones are allowed, and the least loss goes first.
+func (r *Reducer) planOn(c *claim, w *worker) (preemptionPlan, bool) {
+	for _, harshest := range []Signal{SignalThrottle, SignalCheckpoint, SignalStop} {
+		plan := preemptionPlan{worker: w}
+		free := w.free()
+		for _, v := range r.victimsOn(c, w, harshest) {
+			if c.need.Fits(free) {
+				break
+			}
+			if v.freed.helps(c.need, free) {
+				plan.victims = append(plan.victims, v)
+				free = free.Add(v.freed)
+			}
+		}
+		if c.need.Fits(free) {
+			return plan, true
+		}
+	}
+	return preemptionPlan{}, false
+}
+
+// helps reports whether r adds to a dimension in which need exceeds free.
+func (r Resources) helps(need, free Resources) bool {
+	give, want, have := r.vector(), need.vector(), free.vector()
+	for d := range give {
+		if give[d] > 0 && want[d] > have[d] {
+			return true
+		}
+	}
+	return false
+}
+
+// victimsOn lists one act against each task on w, none harsher than harshest.
+func (r *Reducer) victimsOn(c *claim, w *worker, harshest Signal) []victim {
+	var out []victim
+	for _, p := range w.sorted() {
+		if !r.mayPreempt(c, p) {
+			continue
+		}
+		if v, ok := r.actAgainst(p, harshest); ok {
+			out = append(out, v)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b victim) int {
+		if d := cmp.Compare(severity(a.signal), severity(b.signal)); d != 0 {
+			return d
+		}
+		return cmp.Compare(a.lost, b.lost)
+	})
+	return out
+}
+
+// mayPreempt reports whether work may give way to the claim: it is less urgent,
+// and it belongs to the same team or runs on capacity that its team borrowed.
+func (r *Reducer) mayPreempt(c *claim, p placement) bool {
+	if p.task.state != taskRunning || p.task.stopping || p.job.kind.Urgency <= c.urgency {
+		return false
+	}
+	return p.job.team == c.team || !p.job.team.used.withinQuota(p.task.held, p.job.team.doc().Quota)
+}
+
+// actAgainst returns the act that frees the most of a task without being harsher
+// than harshest, if the document allows any.
+func (r *Reducer) actAgainst(p placement, harshest Signal) (victim, bool) {
+	policy := p.job.kind.Preemption
+	again := p.job.preempted < policy.MaxTimes
+	allowed := severity(harshest)
+	switch {
+	case again && policy.Checkpoint && allowed >= severity(SignalCheckpoint):
+		return victim{placement: p, signal: SignalCheckpoint, freed: p.task.held}, true
+	case again && policy.Stop && p.job.kind.Idempotent && allowed >= severity(SignalStop):
+		lost := r.now.Sub(p.task.started)
+		return victim{placement: p, signal: SignalStop, freed: p.task.held, lost: lost}, true
+	case policy.Throttle && !p.task.throttled:
+		freed := Resources{MilliCPU: p.task.held.MilliCPU / throttledShare}
+		return victim{placement: p, signal: SignalThrottle, freed: freed}, true
+	}
+	return victim{}, false
+}
+
+// carryOut sends the signals of the plans and keeps the room for the claim.
+func (r *Reducer) carryOut(c *claim, plans []preemptionPlan) {
+	v := &reservation{job: c.id, until: r.now.Add(preemptTime), preemption: true}
+	for _, p := range plans {
+		v.workers = append(v.workers, p.worker)
+		for _, act := range p.victims {
+			if act.signal != SignalThrottle {
+				act.job.preempted++
+			}
+			r.count(MetricPreemptions, Reason(act.signal.String()), act.job.spec.Team, act.job.spec.Kind)
+			r.signal(act.job, act.task, act.signal)
+		}
+	}
+	r.reserve.add(v)
+}
+
+// onThrottled adjusts what a task holds to whether it is throttled.
+func (r *Reducer) onThrottled(j *job, t *task, throttled bool) {
+	if throttled == t.throttled || t.unthrottling && throttled {
+		return
+	}
+	t.throttled, t.unthrottling = throttled, false
+	if !throttled {
+		return
+	}
+	r.resizeTask(j, t, Resources{MilliCPU: -(t.held.MilliCPU / throttledShare)})
+	r.throttledTasks = append(r.throttledTasks, taskKey{j.spec.ID, t.index})
+}
+
+// resizeTask changes what a placed task holds.
+func (r *Reducer) resizeTask(j *job, t *task, by Resources) {
+	w := r.fleet.get(t.worker)
+	if w == nil {
+		return
+	}
+	t.held = t.held.Add(by)
+	r.fleet.hold(w, by)
+	if j.team != nil {
+		j.team.use(by, 1)
+	}
+}
+
+// tickPreemption ends reservations and lets throttled tasks run at full speed
+// where there is room again.
+func (r *Reducer) tickPreemption() {
+	r.tickReservations()
+	if r.now < r.nextUnthrottle {
+		return
+	}
+	r.nextUnthrottle = r.now.Add(unthrottleEvery)
+	keys := r.throttledTasks
+	r.throttledTasks = nil
+	for _, key := range keys {
+		j := r.jobs.get(key.job)
+		if j == nil || !j.tasks[key.task].throttled {
+			continue
+		}
+		if !r.unthrottle(j, &j.tasks[key.task]) {
+			r.throttledTasks = append(r.throttledTasks, key)
+		}
+	}
+}
+
+// unthrottle gives a throttled task its processors back if its worker has them
+// free and nobody waits for them.
+func (r *Reducer) unthrottle(j *job, t *task) bool {
+	w := r.fleet.get(t.worker)
+	back := Resources{MilliCPU: j.kind.Request.MilliCPU - t.held.MilliCPU}
+	if w == nil || t.state != taskRunning || w.reservedBy != "" || !back.Fits(w.free()) {
+		return t.state != taskRunning
+	}
+	r.resizeTask(j, t, back)
+	t.throttled, t.unthrottling = false, true
+	r.signal(j, t, SignalUnthrottle)
+	return true
+}
--- /dev/null
+++ b/core/rank.go
@@ -0,0 +1,78 @@
+package core
+
+// rank returns the best of the candidates for c, or nil. It prefers the worker
+// with the least left over in the dominant dimension, and for spread work the
+// rack that holds the fewest of its siblings.
+func (f *fleet) rank(c *constraint, found []*worker, siblings func(rack string) int) *worker {
+	var best *worker
+	var bestScore float64
+	for _, w := range found {
+		score := c.score(w)
+		if siblings != nil {
+			score += float64(siblings(w.rack))
+		}
+		if best == nil || score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// score is lower for better workers. It is the mean share of the worker that
+// would be left free, plus a charge for taking a worker with accelerators for
+// work that needs none.
+func (c *constraint) score(w *worker) float64 {
+	left, have, need := w.free().Sub(c.need).vector(), w.capacity.vector(), c.need.vector()
+	sum, n := 0.0, 0.0
+	for d := range left {
+		if have[d] > 0 && need[d] > 0 {
+			sum += float64(left[d]) / float64(have[d])
+			n++
+		}
+	}
+	score := 0.0
+	if n > 0 {
+		score = sum / n
+	}
+	if w.capacity.Accelerators > 0 && c.need.Accelerators == 0 {
+		score++
+	}
+	return score
+}
+
+// pick returns a worker for c, or nil if none has room.
+func (f *fleet) pick(c *constraint) *worker {
+	var buffer [candidates]*worker
+	found := f.feasible(c, 0, buffer[:0])
+	return f.rank(c, found, nil)
+}
+
+// pickSpread returns a worker for work that is spread over racks. The search
+// starts at evenly spaced workers, so that candidates come from several racks.
+func (f *fleet) pickSpread(c *constraint, siblings func(rack string) int) *worker {
+	var buffer [candidates]*worker
+	found := buffer[:0]
+	for i := range candidates {
+		one := f.feasibleOne(c, i*len(f.workers)/candidates)
+		if one != nil {
+			found = append(found, one)
+		}
+	}
+	return f.rank(c, found, siblings)
+}
+
+// feasibleOne returns the first worker at or after slot from that satisfies c.
+func (f *fleet) feasibleOne(c *constraint, from int) *worker {
+	budget := searchBudget
+	for at := from; budget > 0; {
+		i := f.index.next(at, c.need, &budget)
+		if i < 0 {
+			return nil
+		}
+		if w := f.workers[i]; c.allows(w) {
+			return w
+		}
+		at = i + 1
+	}
+	return nil
+}
--- /dev/null
+++ b/core/reserve.go
@@ -0,0 +1,154 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// reserveAfter is how long the head of a queue must have waited before
+	// room is gathered for it.
+	reserveAfter = 3 * time.Second
+	// reserveTime bounds how long room is gathered for one job. A job that
+	// cannot be placed by then leaves the room to others for as long.
+	reserveTime = 60 * time.Second
+	// maxReservations bounds the jobs that room is gathered for at a time, so
+	// that two gangs cannot wait for each other's half.
+	maxReservations = 2
+	// reserveShare bounds the workers reserved for one job.
+	reserveShare = 0.25
+)
+
+// reservation keeps workers free of other new work until a job fits.
+type reservation struct {
+	job     JobID
+	workers []*worker
+	until   Time
+	// preemption is set when the room comes from preempted work.
+	preemption bool
+}
+
+// reservations holds the reservations in the order of their creation.
+type reservations struct {
+	list []*reservation
+	// again says when room may be gathered again for a job that had its time.
+	again map[JobID]Time
+}
+
+func newReservations() reservations { return reservations{again: map[JobID]Time{}} }
+
+// of returns the reservation of a job, or nil.
+func (s *reservations) of(id JobID) *reservation {
+	for _, v := range s.list {
+		if v.job == id {
+			return v
+		}
+	}
+	return nil
+}
+
+// drop ends the reservation of a job.
+func (s *reservations) drop(r *Reducer, id JobID) {
+	delete(s.again, id)
+	v := s.of(id)
+	if v == nil {
+		return
+	}
+	s.list = slices.DeleteFunc(s.list, func(o *reservation) bool { return o == v })
+	for _, w := range v.workers {
+		if w.reservedBy == id {
+			w.reservedBy = ""
+		}
+	}
+	r.fleet.released++
+}
+
+// add reserves workers for a job.
+func (s *reservations) add(v *reservation) {
+	for _, w := range v.workers {
+		w.reservedBy = v.job
+	}
+	s.list = append(s.list, v)
+}
+
+// reserveFor gathers room for the head of a queue that has waited long.
+func (r *Reducer) reserveFor(k *kindQueue, j *job) {
+	gathering := 0
+	for _, v := range r.reserve.list {
+		if !v.preemption {
+			gathering++
+		}
+	}
+	waited := r.now.Sub(j.spec.Submitted)
+	if gathering >= maxReservations || waited < reserveAfter || r.now < r.reserve.again[j.spec.ID] {
+		return
+	}
+	if !r.entitled(k.team, j.demand()) && r.othersEntitled(k) {
+		return
+	}
+	workers := r.workersFor(j)
+	if len(workers) == 0 {
+		return
+	}
+	r.reserve.add(&reservation{job: j.spec.ID, workers: workers, until: r.now.Add(reserveTime)})
+	r.jobs.note(j, r.now, "gathering room", workers[0].id)
+}
+
+// othersEntitled reports whether another queue has a head within its quota.
+func (r *Reducer) othersEntitled(k *kindQueue) bool {
+	for _, o := range r.queues.busy {
+		if j := o.first(); o != k && j != nil && r.entitled(o.team, j.demand()) {
+			return true
+		}
+	}
+	return false
+}
+
+// workersFor picks the workers that lack the least to hold the waiting tasks of
+// j, within the share that one job may reserve.
+func (r *Reducer) workersFor(j *job) []*worker {
+	waiting := int64(0)
+	for i := range j.tasks {
+		if j.tasks[i].state == taskWaiting {
+			waiting++
+		}
+	}
+	var fitting []*worker
+	for _, w := range r.fleet.workers {
+		if w.isUsable() && w.reservedBy == "" && j.kind.Request.Fits(w.capacity) {
+			fitting = append(fitting, w)
+		}
+	}
+	slices.SortStableFunc(fitting, func(a, b *worker) int {
+		return cmp.Compare(a.assigned.DominantShare(a.capacity), b.assigned.DominantShare(b.capacity))
+	})
+	most := max(1, int(reserveShare*float64(len(r.fleet.workers))))
+	var chosen []*worker
+	for _, w := range fitting {
+		if waiting <= 0 {
+			return chosen
+		}
+		if len(chosen) == most {
+			return nil
+		}
+		chosen = append(chosen, w)
+		waiting -= j.kind.Request.Copies(w.capacity, waiting)
+	}
+	if waiting > 0 {
+		return nil
+	}
+	return chosen
+}
+
+// tickReservations ends reservations that have lasted long enough.
+func (r *Reducer) tickReservations() {
+	for _, v := range slices.Clone(r.reserve.list) {
+		if r.now >= v.until {
+			r.reserve.drop(r, v.job)
+			if !v.preemption {
+				r.reserve.again[v.job] = r.now.Add(reserveTime)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/retry.go
@@ -0,0 +1,145 @@
+package core
+
+import "time"
+
+const (
+	// retryBase and retryMost bound the wait before a failed job starts again.
+	retryBase = 200 * time.Millisecond
+	retryMost = 30 * time.Second
+	// retryShare is the part of first tries that may be tried again.
+	retryShare = 0.10
+	// retryBurst is how many retries a kind may make before the share counts.
+	retryBurst = 10
+	// retryDefer is the wait of a retry for which the budget has no room.
+	retryDefer = 5 * time.Second
+)
+
+// retryBudgets bounds the retries of each kind to a part of its first tries, so
+// that retries cannot multiply the load when much fails at once.
+type retryBudgets struct{ byKind map[queueKey]*float64 }
+
+func newRetryBudgets() retryBudgets { return retryBudgets{byKind: map[queueKey]*float64{}} }
+
+func (b *retryBudgets) of(key queueKey) *float64 {
+	tokens := b.byKind[key]
+	if tokens == nil {
+		tokens = new(float64)
+		*tokens = retryBurst
+		b.byKind[key] = tokens
+	}
+	return tokens
+}
+
+// earn adds what a first try allows.
+func (b *retryBudgets) earn(key queueKey) {
+	tokens := b.of(key)
+	*tokens = min(retryBurst, *tokens+retryShare)
+}
+
+// spend takes one retry and reports whether the budget had room for it.
+func (b *retryBudgets) spend(key queueKey) bool {
+	tokens := b.of(key)
+	if *tokens < 1 {
+		return false
+	}
+	*tokens--
+	return true
+}
+
+// backoff is the jittered wait before the nth retry, from 1.
+func (r *Reducer) backoff(n int) time.Duration {
+	d := retryBase
+	for i := 1; i < n && d < retryMost; i++ {
+		d *= 2
+	}
+	return r.jitter(min(d, retryMost))
+}
+
+// retryLater queues an idempotent job again after a jittered wait, or a longer
+// one when the budget of its kind is used up.
+func (r *Reducer) retryLater(j *job) {
+	wait := r.backoff(j.failures)
+	if !r.retries.spend(queueKey{j.spec.Team, j.spec.Kind}) {
+		r.count(MetricRetries, ReasonRetryBudget, j.spec.Team, j.spec.Kind)
+		wait += r.jitter(retryDefer)
+	}
+	j.notBefore = r.now.Add(wait)
+	r.requeue(j)
+}
+
+// afterFailure decides what follows a task that ran and failed. A non-idempotent
+// task is never started again.
+func (r *Reducer) afterFailure(j *job, rep *TaskReport) {
+	switch {
+	case j.state.Final():
+	case j.cancelled:
+		r.endUnstarted(j)
+	case j.service != "":
+		r.count(MetricRetries, ReasonUpstream, j.spec.Team, j.spec.Kind)
+		r.retryLater(j)
+	case !j.kind.Idempotent:
+		j.result = rep.Result
+		r.fail(j, ReasonUpstream, "a task failed on its worker")
+	case j.distinctFailures() >= workersToBlameJob:
+		r.fail(j, ReasonJobFault, "failed on several different workers")
+	case j.maxAttemptsReached():
+		r.fail(j, ReasonAttempts, "every allowed attempt failed")
+	default:
+		r.count(MetricRetries, ReasonUpstream, j.spec.Team, j.spec.Kind)
+		r.retryLater(j)
+	}
+}
+
+// fail ends a job that ran without success. Tasks that still run are stopped
+// first.
+func (r *Reducer) fail(j *job, reason Reason, message string) {
+	ref := refuse(reason, "job %q: %s", j.spec.ID, message)
+	ref.Verdict = Ran
+	r.finish(j, JobFailed, ref)
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == taskRunning {
+			r.signal(j, t, SignalStop)
+		}
+	}
+}
+
+// distinctFailures is the number of workers on which any task of j failed.
+func (j *job) distinctFailures() int {
+	seen := map[WorkerID]bool{}
+	for i := range j.tasks {
+		for _, w := range j.tasks[i].failedOn {
+			seen[w] = true
+		}
+	}
+	return len(seen)
+}
+
+// maxAttemptsReached reports whether a task has used up its starts. Starts that
+// were preempted or refused do not count.
+func (j *job) maxAttemptsReached() bool {
+	for i := range j.tasks {
+		if len(j.tasks[i].failedOn) >= max(1, j.kind.MaxAttempts) {
+			return true
+		}
+	}
+	return false
+}
+
+// afterStop decides what follows a task that was stopped or checkpointed.
+func (r *Reducer) afterStop(j *job, t *task, wasStopping bool, rep *TaskReport) {
+	switch {
+	case j.state.Final():
+		t.state = taskDone
+	case j.cancelled || (r.now >= j.deadline() && j.service == ""):
+		r.endUnstarted(j)
+	case rep.State == ReportedCheckpointed || j.kind.Idempotent || j.service != "":
+		r.count(MetricRetries, ReasonPreempted, j.spec.Team, j.spec.Kind)
+		if !wasStopping {
+			r.retryLater(j) // Its lease lapsed at the worker.
+			return
+		}
+		r.requeue(j)
+	default:
+		r.fail(j, ReasonWorkerLost, "stopped on its worker before its end")
+	}
+}
--- a/core/store.go
+++ b/core/store.go
@@ -20,14 +20,14 @@
 	PurposeJournalWrite
 	PurposeJournalReadBack
 	PurposeJournalLoad
-	PurposeJournalClose
-	PurposeSnapshotWrite
-	PurposeSnapshotHead
+	PurposeJournalOpen
 	PurposeJournalDelete
+	PurposeDocumentRead
 	PurposeDocumentWrite
 	PurposeDocumentReadBack
 	PurposeDocumentList
 	PurposeDocumentWatch
+	PurposeDocumentHistory
 )
 
 // StoreOp identifies one store operation in its result.
@@ -59,8 +59,8 @@
 	StoreUnreadable
 )
 
-// Value is a typed value of the store: OwnerRecord, LeaseRecord, JournalGroup,
-// Snapshot or DocumentRecord.
+// Value is a typed value of the store: OwnerRecord, LeaseRecord, JournalGroup or
+// DocumentRecord.
 type Value interface{ value() }
 
 // StoreItem is one key with its decoded value.
@@ -90,6 +90,7 @@
 }
 
 // DocumentRecord is a document with its latest earlier versions, newest first.
+// The revision of Current is that of the store item that holds the record.
 type DocumentRecord struct {
 	Current DocumentVersion
 	History []DocumentVersion
@@ -98,5 +99,4 @@
 func (OwnerRecord) value()    {}
 func (LeaseRecord) value()    {}
 func (JournalGroup) value()   {}
-func (Snapshot) value()       {}
 func (DocumentRecord) value() {}
--- /dev/null
+++ b/core/submit.go
@@ -0,0 +1,219 @@
+package core
+
+import "time"
+
+// MaxPayloadBytes bounds the payload of a job.
+const MaxPayloadBytes = 64 << 10
+
+// maxWaitHint bounds the retry time given with a refusal.
+const maxWaitHint = 30 * time.Second
+
+// onSubmitted accepts, refuses or forwards a job.
+func (r *Reducer) onSubmitted(s Submitted) {
+	if !r.owner.active() {
+		r.forward(s.Request, s.Forwarded)
+		return
+	}
+	if j := r.jobs.get(s.Spec.ID); j != nil {
+		r.onRepeatedSubmit(s, j)
+		return
+	}
+	kind, ref := r.admit(&s.Spec)
+	if ref != nil {
+		r.refuse(s.Request, ref, s.Spec.Team, s.Spec.Kind)
+		return
+	}
+	if !s.Forwarded && r.sendElsewhere(s, kind) {
+		return
+	}
+	j := r.newJob(s.Spec, kind)
+	j.submitters = []RequestID{s.Request}
+	r.jobs.add(j)
+	r.jobs.waiting[s.Request] = j.spec.ID
+	r.jobs.schedule(j)
+	j.team.queued++
+	spec := j.spec
+	r.appendRecord(Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec, At: r.now})
+}
+
+// onRepeatedSubmit answers a submit of an id that is known.
+func (r *Reducer) onRepeatedSubmit(s Submitted, j *job) {
+	if j.spec.Digest != s.Spec.Digest {
+		r.refuse(s.Request, refuse(ReasonDuplicateID,
+			"job %q was submitted before with other content", s.Spec.ID), s.Spec.Team, s.Spec.Kind)
+		return
+	}
+	if j.state == JobAccepting {
+		j.submitters = append(j.submitters, s.Request)
+		r.jobs.waiting[s.Request] = j.spec.ID
+		return
+	}
+	r.emit(Reply{Request: s.Request, Status: j.status(r.now)})
+}
+
+// admit checks a new job. The refusals it gives are all true "not run".
+func (r *Reducer) admit(spec *JobSpec) (*Kind, *Refusal) {
+	t := r.docs.team(spec.Team)
+	if t == nil {
+		return nil, refuse(ReasonUnknownTeam, "team %q has no document", spec.Team)
+	}
+	kind, ok := t.doc().Kind(spec.Kind)
+	switch {
+	case !ok:
+		return nil, refuse(ReasonUnknownKind, "team %q declares no kind %q", spec.Team, spec.Kind)
+	case kind.Urgency == Interactive:
+		return nil, refuse(ReasonInvalid, "kind %q is interactive; use a call", spec.Kind)
+	case len(spec.Payload) > MaxPayloadBytes:
+		return nil, refuse(ReasonTooLarge, "payload of %d bytes exceeds %d", len(spec.Payload), MaxPayloadBytes)
+	case r.draining:
+		return nil, refuse(ReasonDraining, "host is stopping; ask again")
+	case r.owner.role == roleStandby:
+		ref := refuse(ReasonStoreUnavailable, "the store cannot be reached; no job can be made durable")
+		ref.RetryAfter = maxWaitHint
+		return nil, ref
+	}
+	if ref := r.admitSize(kind); ref != nil {
+		return nil, ref
+	}
+	return kind, r.admitQueue(t, kind)
+}
+
+// admitSize refuses a kind that the workers could not hold even if they were
+// empty.
+func (r *Reducer) admitSize(kind *Kind) *Refusal {
+	if len(r.fleet.workers) == 0 {
+		return nil
+	}
+	size := int64(max(1, kind.GangSize))
+	if n := r.fleet.canEverHold(kind.Request, size); n < size {
+		return refuse(ReasonNeverFits,
+			"kind %q needs %d times (%s); the workers of %s could hold %d",
+			kind.Name, size, kind.Request, r.cfg.DataCentre, n)
+	}
+	return nil
+}
+
+// admitQueue bounds the queue of a kind and refuses early what would surely not
+// start in time.
+func (r *Reducer) admitQueue(t *team, kind *Kind) *Refusal {
+	k := r.queues.byKey[queueKey{t.name, kind.Name}]
+	if k == nil {
+		return nil
+	}
+	wait := k.expectedWait(r.now)
+	if kind.QueueLimit > 0 && k.size >= kind.QueueLimit && !r.shedFor(t, kind) {
+		ref := refuse(ReasonQueueFull, "kind %q of team %q has %d jobs waiting, which is its limit",
+			kind.Name, t.name, k.size)
+		ref.RetryAfter = min(max(wait, time.Second), maxWaitHint)
+		return ref
+	}
+	if kind.StartWithin > 0 && wait > kind.StartWithin && !r.shedFor(t, kind) {
+		ref := refuse(ReasonNoCapacity, "kind %q would wait about %s, longer than its limit of %s",
+			kind.Name, wait.Round(time.Second), kind.StartWithin)
+		ref.RetryAfter = min(wait-kind.StartWithin+time.Second, maxWaitHint)
+		return ref
+	}
+	return nil
+}
+
+// shedFor gives up one waiting job of the first kind that the team's document
+// gives up before kind, and reports whether there was one.
+func (r *Reducer) shedFor(t *team, kind *Kind) bool {
+	for _, name := range t.doc().GiveUpFirst {
+		if name == kind.Name {
+			return false
+		}
+		k := r.queues.byKey[queueKey{t.name, name}]
+		if k == nil || k.size == 0 {
+			continue
+		}
+		if j := k.newest(); j != nil && !j.everStarted() {
+			r.endUnstartedBecause(j, ReasonShed, "given up for more urgent work of the team")
+			return true
+		}
+	}
+	return false
+}
+
+// newest returns the job that joined the queue last, or nil.
+func (k *kindQueue) newest() *job {
+	for i := len(k.jobs) - 1; i >= k.head; i-- {
+		if j := k.jobs[i]; j != nil && j.inQueue {
+			return j
+		}
+	}
+	return nil
+}
+
+// onAccepted continues with a job whose accept record is durable.
+func (r *Reducer) onAccepted(j *job) {
+	if j.journaled {
+		return
+	}
+	j.journaled = true
+	if j.cancelled {
+		r.endUnstarted(j)
+	} else if !j.state.Final() {
+		j.state = JobQueued
+		r.queues.push(j)
+		r.jobs.note(j, r.now, "accepted", "")
+	} else {
+		r.appendRecord(j.finishedRecord())
+	}
+	for _, id := range j.submitters {
+		delete(r.jobs.waiting, id)
+		r.emit(Reply{Request: id, Status: j.status(r.now)})
+	}
+	j.submitters = nil
+}
+
+// onCancelRequested cancels a job. The answer is given when it is certain what
+// became of the job.
+func (r *Reducer) onCancelRequested(c CancelRequested) {
+	if !r.owner.active() {
+		r.forward(c.Request, c.Forwarded)
+		return
+	}
+	j := r.jobs.get(c.Job)
+	if j == nil || j.service != "" {
+		r.refuse(c.Request, refuse(ReasonUnknownJob, "job %q is not known", c.Job), "", "")
+		return
+	}
+	if j.state.Final() {
+		r.emit(Reply{Request: c.Request, Status: j.status(r.now)})
+		return
+	}
+	j.cancelled = true
+	r.jobs.wait(j, c.Request)
+	switch j.state {
+	case JobAccepting:
+		if r.dropOpenRecords(j.spec.ID) {
+			r.endUnstarted(j)
+		}
+	case JobQueued:
+		r.endUnstarted(j)
+	case JobSettling:
+		// Ends once every worker has said whether it runs the job.
+	default:
+		r.stopTasks(j)
+	}
+}
+
+// onStatusRequested answers about one job, at once or when it has ended.
+func (r *Reducer) onStatusRequested(s StatusRequested) {
+	if !r.owner.active() {
+		r.forward(s.Request, s.Forwarded)
+		return
+	}
+	j := r.jobs.get(s.Job)
+	switch {
+	case j == nil:
+		r.refuse(s.Request, refuse(ReasonUnknownJob, "job %q is not known", s.Job), "", "")
+	case s.Explain:
+		r.emit(Reply{Request: s.Request, Explain: r.explain(j)})
+	case s.Wait && !j.state.Final():
+		r.jobs.wait(j, s.Request)
+	default:
+		r.emit(Reply{Request: s.Request, Status: j.status(r.now)})
+	}
+}
--- /dev/null
+++ b/core/sync.go
@@ -0,0 +1,226 @@
+package core
+
+import "time"
+
+const (
+	// syncRetry is the wait after a sync that failed.
+	syncRetry = time.Second
+	// syncTimeout is how much longer than its wait a sync may take.
+	syncTimeout = 5 * time.Second
+	// lostMargin is added to the task lease before a silent worker's tasks
+	// count as ended, for the drift between two clocks over one lease.
+	lostMargin = 5 * time.Second
+	// suspectAfter is how long a worker may fail to answer before its task
+	// leases are no longer renewed. From then on the time at which its tasks
+	// have surely ended is fixed.
+	suspectAfter = 5 * time.Second
+	// peerSilence is how long an owner without a lease may hear no peer
+	// before it stops renewing task leases.
+	peerSilence = 5 * time.Second
+)
+
+// syncState tracks the long poll to one worker.
+type syncState struct {
+	inFlight bool
+	sent     Time
+	next     Time
+	// renewed is when a sync that renews leases was last sent.
+	renewed Time
+	// failing is when syncs began to fail, or zero.
+	failing Time
+}
+
+// syncWorker sends the next sync to a worker.
+func (r *Reducer) syncWorker(w *worker) {
+	s := &w.sync
+	s.inFlight, s.sent = true, r.now
+	lease := r.cfg.TaskLease
+	suspect := s.failing != 0 && r.now.Sub(s.failing) >= suspectAfter
+	if suspect || r.isolated() {
+		lease = 0
+	} else {
+		s.renewed = r.now
+	}
+	wait := r.cfg.SyncWait
+	if !w.fenced || suspect {
+		wait = 0
+	}
+	r.emit(SyncWorker{
+		Worker: w.id, Address: w.address, Epoch: r.owner.epoch, Since: w.since,
+		Lease: lease, Wait: wait,
+	})
+}
+
+// isolated reports whether this owner must fear that another host has taken over
+// without its hearing of it. It then lets task leases lapse. In an outage of the
+// store alone its peers are still heard and work goes on.
+func (r *Reducer) isolated() bool {
+	return r.owner.role == roleOwner && !r.leaseValid() && r.peers.expected &&
+		r.now.Sub(r.peers.heard) > peerSilence
+}
+
+// tickWorkers sends syncs that are due and gives up silent workers.
+func (r *Reducer) tickWorkers() {
+	r.tickHostList()
+	if !r.owner.active() {
+		return
+	}
+	for _, w := range r.fleet.workers {
+		s := &w.sync
+		if s.inFlight && r.now.Sub(s.sent) > r.cfg.SyncWait+syncTimeout {
+			s.inFlight = false // The executor's answer was lost.
+		}
+		if !s.inFlight && r.now >= s.next && w.listed {
+			r.syncWorker(w)
+		}
+		if !w.lost && r.surelyLost(w) {
+			r.workerLost(w)
+		}
+	}
+	r.tickHealth()
+	r.tickResends()
+}
+
+// surelyLost reports whether all tasks on w have ended because their leases have
+// lapsed.
+func (r *Reducer) surelyLost(w *worker) bool {
+	if w.sync.failing == 0 {
+		return false
+	}
+	if !w.fenced {
+		return r.now.Sub(r.fleet.takeover) > r.cfg.TaskLease+unreachableGrace
+	}
+	return r.now.Sub(w.sync.failing) > suspectAfter &&
+		r.now.Sub(w.sync.renewed) > r.cfg.TaskLease+lostMargin
+}
+
+// onWorkerSynced applies a worker's answer and sends the next sync.
+func (r *Reducer) onWorkerSynced(s WorkerSynced) {
+	w := r.fleet.get(s.Worker)
+	if w == nil || !r.owner.active() || s.Epoch != r.owner.epoch {
+		return
+	}
+	restarted := w.incarnation != 0 && w.incarnation != s.Incarnation
+	first := !w.fenced || w.lost
+	w.sync.inFlight, w.sync.failing, w.sync.next = false, 0, 0
+	w.incarnation, w.fenced, w.lost = s.Incarnation, true, false
+	w.leaving = w.leaving || s.Leaving
+	if restarted {
+		r.loseTasks(w, false)
+	}
+	w.since = s.Sequence
+	for i := range s.Tasks {
+		r.onTaskReport(w, &s.Tasks[i])
+	}
+	if s.Full {
+		r.settleAbsent(w, s.Tasks)
+	}
+	r.grants.noteCalls(r, w, s.CallsInProgress, first)
+	r.fleet.refresh(w)
+	if first {
+		r.fleet.released++
+		r.settleRestored()
+	}
+	r.syncWorker(w)
+}
+
+// settleAbsent settles the restored tasks that the journal places on w but w
+// does not know. Since w now refuses the earlier epoch, they will never run.
+func (r *Reducer) settleAbsent(w *worker, tasks []TaskReport) {
+	known := map[TaskRef]bool{}
+	for i := range tasks {
+		known[tasks[i].Task] = true
+	}
+	for _, p := range w.sorted() {
+		restored := p.task.state == taskUncertain && p.task.sent == 0
+		if !restored || known[p.job.ref(p.task)] {
+			continue
+		}
+		if p.task.incarnation != 0 && p.task.incarnation != w.incarnation {
+			// A restart of the worker has emptied its ledger.
+			r.taskLost(p.job, p.task)
+			continue
+		}
+		r.startRefused(p.job, p.task, ReasonNoOwner)
+	}
+}
+
+// onWorkerFailed handles a sync or a signal that did not succeed.
+func (r *Reducer) onWorkerFailed(f WorkerFailed) {
+	w := r.fleet.get(f.Worker)
+	if w == nil || !r.owner.active() || f.Epoch != r.owner.epoch {
+		return
+	}
+	if f.HighestEpoch > r.owner.epoch {
+		r.onHigherEpoch(f.HighestEpoch)
+		return
+	}
+	s := &w.sync
+	s.inFlight = false
+	s.next = r.now.Add(r.jitter(syncRetry))
+	if s.failing == 0 {
+		s.failing = r.now
+	}
+}
+
+// onHigherEpoch steps down, since a worker obeys a later owner.
+func (r *Reducer) onHigherEpoch(e Epoch) {
+	r.owner.ownerEpoch = max(r.owner.ownerEpoch, e)
+	r.stepDown(ReasonStaleEpoch)
+}
+
+// workerLost gives up a worker whose task leases have surely lapsed.
+func (r *Reducer) workerLost(w *worker) {
+	w.lost, w.since = true, 0
+	r.count(MetricWorkerLost, "", "", "")
+	r.emit(Log{Level: LogWarn, Message: "worker lost", Worker: w.id})
+	r.loseTasks(w, true)
+	r.fleet.refresh(w)
+	r.settleRestored()
+}
+
+// loseTasks settles every task on a worker that no longer runs it.
+func (r *Reducer) loseTasks(w *worker, silent bool) {
+	for _, p := range w.sorted() {
+		if silent && !p.job.kind.Idempotent && p.job.service == "" && w.listed {
+			// The worker may come back and tell what became of it.
+			p.task.state = taskUncertain
+			p.task.sent = 0
+			continue
+		}
+		r.taskLost(p.job, p.task)
+	}
+	for ref := range w.orphans {
+		need := w.orphans[ref]
+		delete(w.orphans, ref)
+		r.fleet.hold(w, need.Times(-1))
+	}
+	r.grants.forgetWorker(r, w)
+}
+
+// taskLost ends an attempt of which nobody can tell whether it ran to its end.
+func (r *Reducer) taskLost(j *job, t *task) {
+	began := t.state == taskRunning || j.began
+	r.releaseTask(j, t, taskWaiting)
+	if j.kind.Idempotent || j.service != "" {
+		r.count(MetricRetries, ReasonWorkerLost, j.spec.Team, j.spec.Kind)
+		r.retryLater(j)
+		return
+	}
+	ref := refuse(ReasonWorkerLost, "the worker of job %q was lost", j.spec.ID)
+	ref.Verdict = MayHaveRun
+	if began {
+		ref.Verdict = Ran
+	}
+	r.finish(j, JobFailed, ref)
+}
+
+// sorted returns the placements of w in the order of job and task.
+func (w *worker) sorted() []placement {
+	out := make([]placement, 0, len(w.placements))
+	for _, p := range w.placements {
+		out = append(out, p)
+	}
+	sortPlacements(out)
+	return out
+}
