Add the operators' views and their JSON forms

Cause: the operators' API needs typed answers for hosts, workers, teams, document versions and explanations.

--- /dev/null
+++ b/wire/operator.go
@@ -0,0 +1,215 @@
+package wire
+
+import (
+	"encoding/json"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// Headers, path elements and query parameters of the operators' and callers'
+// API that caller.go does not name.
+const (
+	// HeaderIfMatch carries the base revision of an edit; 0 creates.
+	HeaderIfMatch = "If-Match"
+	// HeaderAuthor names the operator who makes an edit.
+	HeaderAuthor = "Banyanrun-Author"
+
+	// ElementHistory follows PathDocuments/<team>.
+	ElementHistory = "history"
+	// ElementWait and ElementExplain follow PathJobs/<id>.
+	ElementWait    = "wait"
+	ElementExplain = "explain"
+
+	// ParamTimeoutMS bounds a wait in milliseconds. When it has passed, the
+	// answer is the status at that time, which is not final.
+	ParamTimeoutMS = "timeout_ms"
+	// ParamTeam restricts the view of teams to one team.
+	ParamTeam = "team"
+)
+
+// MaxDocumentBytes bounds the body of PUT /v1/documents/<team>. It leaves room
+// for the version's metadata in a store value that holds several versions.
+const MaxDocumentBytes = 256 << 10
+
+// DocumentVersion is the answer to GET and PUT /v1/documents/<team>. Document is
+// the form of package document.
+type DocumentVersion struct {
+	Team       core.TeamName   `json:"team"`
+	Revision   core.Revision   `json:"revision"`
+	Author     string          `json:"author"`
+	TimeUnixMS int64           `json:"time_unix_ms"`
+	Document   json.RawMessage `json:"document"`
+}
+
+// DocumentHistory is the answer to GET /v1/documents/<team>/history, the newest
+// version first.
+type DocumentHistory struct {
+	Versions []DocumentVersion `json:"versions"`
+}
+
+// DocumentConflict is the body of status 409 to an edit whose base revision is
+// not in force. It shows both versions.
+type DocumentConflict struct {
+	Error Error `json:"error"`
+	// InForce is nil when no document exists.
+	InForce  *DocumentVersion `json:"in_force,omitempty"`
+	Proposed json.RawMessage  `json:"proposed"`
+}
+
+// HostsView is the answer to GET /v1/hosts.
+type HostsView struct {
+	Hosts []HostView `json:"hosts"`
+}
+
+// HostView is the JSON form of core.HostView. HeartbeatAgeMS is negative if no
+// heartbeat was heard.
+type HostView struct {
+	ID             core.HostID     `json:"id"`
+	Address        string          `json:"address"`
+	DataCentre     core.DataCentre `json:"data_centre"`
+	Region         core.Region     `json:"region"`
+	Owner          bool            `json:"owner"`
+	Epoch          core.Epoch      `json:"epoch"`
+	HeartbeatAgeMS int64           `json:"heartbeat_age_ms"`
+	Draining       bool            `json:"draining"`
+}
+
+// WorkersView is the answer to GET /v1/workers.
+type WorkersView struct {
+	Workers []WorkerView `json:"workers"`
+}
+
+// WorkerView is the JSON form of core.WorkerView.
+type WorkerView struct {
+	ID         core.WorkerID    `json:"id"`
+	Rack       string           `json:"rack"`
+	DataCentre core.DataCentre  `json:"data_centre"`
+	State      core.WorkerState `json:"state"`
+	Capacity   Resources        `json:"capacity"`
+	Assigned   Resources        `json:"assigned"`
+	Tasks      int              `json:"tasks"`
+	Epoch      core.Epoch       `json:"epoch"`
+}
+
+// TeamsView is the answer to GET /v1/teams.
+type TeamsView struct {
+	Teams []TeamView `json:"teams"`
+}
+
+// TeamView is the JSON form of core.TeamView.
+type TeamView struct {
+	Team         core.TeamName `json:"team"`
+	Weight       int64         `json:"weight"`
+	Quota        Resources     `json:"quota"`
+	InUse        Resources     `json:"in_use"`
+	Share        float64       `json:"share"`
+	Queued       []KindCount   `json:"queued"`
+	OldestWaitMS int64         `json:"oldest_wait_ms"`
+	Revision     core.Revision `json:"revision"`
+}
+
+// KindCount counts jobs of one kind.
+type KindCount struct {
+	Kind  core.KindName `json:"kind"`
+	Count int           `json:"count"`
+}
+
+// Explanation is the answer to GET /v1/jobs/<id>/explain.
+type Explanation struct {
+	Status   *JobStatus    `json:"status"`
+	Position int           `json:"position"`
+	Reasons  []string      `json:"reasons"`
+	Rejected []FilterCount `json:"rejected,omitempty"`
+	Steps    []Step        `json:"steps"`
+}
+
+// FilterCount counts workers that a placement filter rejected.
+type FilterCount struct {
+	Filter  string `json:"filter"`
+	Workers int    `json:"workers"`
+}
+
+// Step is one transition of a job.
+type Step struct {
+	AtUnixMS int64         `json:"at_unix_ms"`
+	Text     string        `json:"text"`
+	Worker   core.WorkerID `json:"worker,omitempty"`
+}
+
+// UnixMS converts a time to milliseconds since the Unix epoch.
+func UnixMS(t core.Time) int64 { return int64(t) / int64(time.Millisecond) }
+
+// FromUnixMS converts milliseconds since the Unix epoch to a time.
+func FromUnixMS(ms int64) core.Time { return core.Time(ms * int64(time.Millisecond)) }
+
+// FromVersion converts a version; encoded is its document in the form of package
+// document.
+func FromVersion(v *core.DocumentVersion, encoded json.RawMessage) *DocumentVersion {
+	return &DocumentVersion{
+		Team: v.Document.Team, Revision: v.Revision, Author: v.Author,
+		TimeUnixMS: UnixMS(v.Time), Document: encoded,
+	}
+}
+
+// FromHostViews converts the view of the hosts.
+func FromHostViews(views []core.HostView) *HostsView {
+	out := &HostsView{Hosts: make([]HostView, 0, len(views))}
+	for _, v := range views {
+		age := v.HeartbeatAge.Milliseconds()
+		if v.HeartbeatAge < 0 {
+			age = -1 // a fraction of a millisecond must not become "just heard"
+		}
+		out.Hosts = append(out.Hosts, HostView{
+			ID: v.ID, Address: v.Address, DataCentre: v.DataCentre, Region: v.Region,
+			Owner: v.Owner, Epoch: v.Epoch, HeartbeatAgeMS: age, Draining: v.Draining,
+		})
+	}
+	return out
+}
+
+// FromWorkerViews converts the view of the workers.
+func FromWorkerViews(views []core.WorkerView) *WorkersView {
+	out := &WorkersView{Workers: make([]WorkerView, 0, len(views))}
+	for _, v := range views {
+		out.Workers = append(out.Workers, WorkerView{
+			ID: v.ID, Rack: v.Rack, DataCentre: v.DataCentre, State: v.State,
+			Capacity: FromResources(v.Capacity), Assigned: FromResources(v.Assigned),
+			Tasks: v.Tasks, Epoch: v.Epoch,
+		})
+	}
+	return out
+}
+
+// FromTeamViews converts the view of the teams.
+func FromTeamViews(views []core.TeamView) *TeamsView {
+	out := &TeamsView{Teams: make([]TeamView, 0, len(views))}
+	for _, v := range views {
+		team := TeamView{
+			Team: v.Team, Weight: v.Weight, Quota: FromResources(v.Quota),
+			InUse: FromResources(v.InUse), Share: v.Share,
+			Queued:       make([]KindCount, 0, len(v.Queued)),
+			OldestWaitMS: v.OldestWait.Milliseconds(), Revision: v.Revision,
+		}
+		for _, q := range v.Queued {
+			team.Queued = append(team.Queued, KindCount(q))
+		}
+		out.Teams = append(out.Teams, team)
+	}
+	return out
+}
+
+// FromExplanation converts an explanation.
+func FromExplanation(e *core.Explanation) *Explanation {
+	out := &Explanation{
+		Status: FromStatus(&e.Status), Position: e.Position, Reasons: e.Reasons,
+		Steps: make([]Step, 0, len(e.Steps)),
+	}
+	for _, r := range e.Rejected {
+		out.Rejected = append(out.Rejected, FilterCount(r))
+	}
+	for _, s := range e.Steps {
+		out.Steps = append(out.Steps, Step{AtUnixMS: UnixMS(s.At), Text: s.Text, Worker: s.Worker})
+	}
+	return out
+}
