Add package document: strict decoding, checks and differences

Cause: operators edit one document per team and need to be told exactly where a mistake is before it reaches the hosts. Encode round-trips, Diff compares field by field.

--- /dev/null
+++ b/document/decode_test.go
@@ -0,0 +1,149 @@
+package document
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+func readFile(t testing.TB, path string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// TestInvalidDocuments guards against documents that are accepted although they
+// are wrong, and against messages that do not say where the fault is.
+func TestInvalidDocuments(t *testing.T) {
+	files, err := filepath.Glob("testdata/invalid/*.json")
+	if err != nil || len(files) < 10 {
+		t.Fatalf("found %d files: %v", len(files), err)
+	}
+	g := goldie.New(t, goldie.WithFixtureDir("testdata/findings"))
+	for _, file := range files {
+		name := strings.TrimSuffix(filepath.Base(file), ".json")
+		t.Run(name, func(t *testing.T) {
+			doc, _, err := Validate(readFile(t, file), nil)
+			var refused *Error
+			if !errors.As(err, &refused) || doc != nil {
+				t.Fatalf("got %v, %v; want an *Error", doc, err)
+			}
+			g.Assert(t, name, []byte(err.Error()+"\n"))
+		})
+	}
+}
+
+// TestDocumentSizeLimit guards against documents that do not fit into a store
+// value together with their history.
+func TestDocumentSizeLimit(t *testing.T) {
+	valid := readFile(t, "testdata/valid.json")
+	padded := append(bytes.Repeat([]byte(" "), MaxBytes-len(valid)), valid...)
+	if _, err := Decode(padded); err != nil {
+		t.Errorf("a document of exactly the limit was refused: %v", err)
+	}
+	_, err := Decode(append(padded, ' '))
+	if err == nil || !strings.Contains(err.Error(), "at most 262144 are allowed") {
+		t.Errorf("a document over the limit gave %v", err)
+	}
+}
+
+// TestManyFindingsAreBounded guards against an error that grows with its input.
+func TestManyFindingsAreBounded(t *testing.T) {
+	_, err := Decode([]byte(`{"schema": 1, "kinds": [` + strings.Repeat("1,", 999) + `1]}`))
+	var refused *Error
+	if !errors.As(err, &refused) || len(refused.Findings) != maxFindings || refused.Omitted < 900 {
+		t.Errorf("got %v", err)
+	}
+}
+
+// TestRoundTrip guards against fields that get lost between get and apply.
+func TestRoundTrip(t *testing.T) {
+	doc, err := Decode(readFile(t, "testdata/valid.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range doc.Kinds {
+		// start_within, preemption and the like differ per kind; together the
+		// kinds must set each field, or the comparison would miss one.
+		for j := i + 1; j < len(doc.Kinds); j++ {
+			if reflect.DeepEqual(doc.Kinds[i], doc.Kinds[j]) {
+				t.Errorf("kinds %d and %d are equal", i, j)
+			}
+		}
+	}
+	assertEveryFieldSet(t, doc)
+	again, err := Decode(Encode(doc))
+	if err != nil || !reflect.DeepEqual(doc, again) {
+		t.Errorf("got %+v, %v; want %+v", again, err, doc)
+	}
+	if doc.Kinds[0].GangSize != 1 {
+		t.Errorf("gang_size defaults to %d, want 1", doc.Kinds[0].GangSize)
+	}
+}
+
+// assertEveryFieldSet fails if a field of core.Kind or of the quota is zero in
+// all kinds of the document, for instance because a field was added to core but
+// not to the form.
+func assertEveryFieldSet(t *testing.T, doc *core.Document) {
+	t.Helper()
+	kind := reflect.TypeOf(core.Kind{})
+	for f := range kind.NumField() {
+		set := false
+		for _, k := range doc.Kinds {
+			set = set || !reflect.ValueOf(k).Field(f).IsZero()
+		}
+		if !set {
+			t.Errorf("field %s of core.Kind is never set", kind.Field(f).Name)
+		}
+	}
+	for _, v := range []any{*doc, doc.Quota, doc.Services[0]} {
+		for f := range reflect.TypeOf(v).NumField() {
+			if reflect.ValueOf(v).Field(f).IsZero() {
+				t.Errorf("field %s of %T is not set", reflect.TypeOf(v).Field(f).Name, v)
+			}
+		}
+	}
+}
+
+// FuzzDecode guards against inputs that crash the decoder, are refused without a
+// place, or are accepted but change when they are encoded.
+func FuzzDecode(f *testing.F) {
+	files, err := filepath.Glob("testdata/invalid/*.json")
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, file := range append(files, "testdata/valid.json") {
+		f.Add(readFile(f, file))
+	}
+	fleet := []core.ListedWorker{{DataCentre: "dc-a", Capacity: core.Resources{MilliCPU: 1000, MemoryMB: 1000, Slots: 8}}}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		doc, err := Decode(text)
+		var refused *Error
+		if err != nil && (!errors.As(err, &refused) || len(refused.Findings) == 0 || refused.Findings[0].Line < 1) {
+			t.Fatalf("refused without a place: %v", err)
+		}
+		if err != nil {
+			return
+		}
+		Validate(text, fleet)
+		if encoded := Encode(doc); len(encoded) <= MaxBytes {
+			if again, err := Decode(encoded); err != nil || !reflect.DeepEqual(doc, again) {
+				t.Fatalf("%v\nbefore %+v\nafter  %+v", err, doc, again)
+			}
+		}
+		if changes := Diff(doc, doc); len(changes) != 0 {
+			t.Fatalf("a document differs from itself: %v", changes)
+		}
+	})
+}
