Add package ctl and the command banyanctl

Cause: operators and callers need a command line for the entry host's API. Change: each command is a chain of steps that are data; one client sends the requests.

--- /dev/null
+++ b/ctl/call.go
@@ -0,0 +1,74 @@
+package ctl
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// callAnswer is what call prints with --json.
+type callAnswer struct {
+	RequestID string       `json:"request_id"`
+	Verdict   core.Verdict `json:"verdict"`
+	Worker    string       `json:"worker,omitempty"`
+	Body      []byte       `json:"body,omitempty"`
+	Error     *wire.Error  `json:"error,omitempty"`
+}
+
+// Call makes one interactive request and prints the body of its answer. Asking
+// again with the same id gives the first result.
+func Call(team core.TeamName, kind core.KindName, id string, body []byte, asJSON bool) Step {
+	req := &Request{
+		Method: http.MethodPost, Body: body,
+		Path:   wire.PathCalls + "/" + url.PathEscape(string(team)) + "/" + url.PathEscape(string(kind)),
+		Header: http.Header{wire.HeaderRequestID: {id}},
+	}
+	return Step{Send: req, Then: func(resp *Response) Step {
+		p := check(req, resp)
+		if p == nil {
+			p = damaged(req, resp)
+		}
+		answer := callAnswer{RequestID: id, Verdict: core.Ran, Body: resp.Body}
+		result := Result{Stdout: string(resp.Body)}
+		if p != nil {
+			result = p.result()
+			result.Stderr = fmt.Sprintf("request %s: %s", id, result.Stderr)
+			answer = callAnswer{RequestID: id, Verdict: exitVerdict(p.exit), Error: p.err}
+		}
+		answer.Worker = resp.Header.Get(wire.HeaderWorker)
+		if asJSON {
+			result.Stdout = indented(&answer)
+		}
+		return finish(result)
+	}}
+}
+
+// damaged compares the answer's body with its digest, if it has one.
+func damaged(req *Request, resp *Response) *problem {
+	digest := resp.Header.Get(wire.HeaderDigest)
+	if digest == "" {
+		return nil
+	}
+	want, err := strconv.ParseUint(digest, 16, 64)
+	if got := xxhash.Sum64(resp.Body); err != nil || got != want {
+		return inDoubt(req, fmt.Sprintf("answer has digest %016x; its header says %q", got, digest))
+	}
+	return nil
+}
+
+// exitVerdict is the verdict that an exit code stands for.
+func exitVerdict(code ExitCode) core.Verdict {
+	switch code {
+	case ExitOK, ExitFailed:
+		return core.Ran
+	case ExitMayHaveRun:
+		return core.MayHaveRun
+	}
+	return core.NotRun
+}
--- /dev/null
+++ b/ctl/client.go
@@ -0,0 +1,106 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxAnswerBytes bounds an answer. Answers to calls have up to 4 MB, and
+	// a history holds up to 16 documents of 256 KiB.
+	maxAnswerBytes = 8 << 20
+	// maxRequests bounds the requests of one command.
+	maxRequests = 10_000
+	dialTimeout = 2 * time.Second
+)
+
+// Client sends requests to entry hosts.
+type Client struct {
+	// Entry lists addresses such as 10.0.0.1:7400. The next one is tried only
+	// if a request surely did not reach the one before.
+	Entry []string
+	// Timeout bounds each request, in addition to the wait that a request
+	// asks for.
+	Timeout time.Duration
+	http    *http.Client
+}
+
+// NewClient returns a client for the given entry hosts.
+func NewClient(entry []string, timeout time.Duration) *Client {
+	return &Client{
+		Entry: entry, Timeout: timeout,
+		http: &http.Client{
+			Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext},
+			// A redirected POST would turn into a GET.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Run performs the steps of a command and returns its result.
+func Run(ctx context.Context, c *Client, step Step) Result {
+	for n := 0; step.Send != nil; n++ {
+		if n == maxRequests {
+			return Result{Stderr: fmt.Sprintf("stopped after %d requests\n", n), Exit: ExitUnfinished}
+		}
+		step = step.Then(c.send(ctx, step.Send))
+	}
+	return step.Result
+}
+
+// send tries the entry hosts in order.
+func (c *Client) send(ctx context.Context, r *Request) *Response {
+	var last *Response
+	for _, entry := range c.Entry {
+		last = c.sendTo(ctx, entry, r)
+		if last.Failure == nil || last.Failure.Sent && !r.ReadOnly {
+			return last
+		}
+	}
+	return last
+}
+
+// sendTo sends a request to one entry host.
+func (c *Client) sendTo(ctx context.Context, entry string, r *Request) *Response {
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout+waitOf(r))
+	defer cancel()
+	// Once a connection exists, bytes of the request may have been written.
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	fail := func(err error) *Response {
+		return &Response{Failure: &Failure{Sent: sent.Load(), Message: fmt.Sprintf("entry host %s: %v", entry, err)}}
+	}
+	target := "http://" + entry + r.Path
+	if len(r.Query) > 0 {
+		target += "?" + r.Query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, target, bytes.NewReader(r.Body))
+	if err != nil {
+		return fail(err)
+	}
+	for name, values := range r.Header {
+		req.Header[name] = values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fail(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return fail(fmt.Errorf("answer is incomplete: %w", err))
+	}
+	if len(body) > maxAnswerBytes {
+		return fail(fmt.Errorf("answer has more than %d bytes", maxAnswerBytes))
+	}
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}
+}
--- /dev/null
+++ b/ctl/documents.go
@@ -0,0 +1,253 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/document"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// documentPath is the path of a team's document.
+func documentPath(team core.TeamName) string {
+	return wire.PathDocuments + "/" + url.PathEscape(string(team))
+}
+
+// Validate checks a document without a host. With strict, a warning refuses it.
+func Validate(text []byte, fleet []core.ListedWorker, strict bool) Step {
+	doc, warnings, err := document.Validate(text, fleet)
+	result := Result{Stderr: warningText(warnings)}
+	if err != nil {
+		result.Stderr += err.Error() + "\n"
+		result.Exit = ExitNotRun
+		return finish(result)
+	}
+	if strict && len(warnings) > 0 {
+		result.Exit = ExitNotRun
+		return finish(result)
+	}
+	result.Stdout = fmt.Sprintf("document of team %s is valid: %d kinds, %d services\n",
+		doc.Team, len(doc.Kinds), len(doc.Services))
+	return finish(result)
+}
+
+func warningText(warnings []document.Finding) string {
+	var b strings.Builder
+	for _, w := range warnings {
+		b.WriteString(w.String() + "\n")
+	}
+	return b.String()
+}
+
+// ApplyOptions are the options of Apply.
+type ApplyOptions struct {
+	Author string
+	// Base is the revision that was edited. If it is nil, the revision in
+	// force is read first.
+	Base *core.Revision
+	JSON bool
+}
+
+// Apply checks a document and puts it in force.
+func Apply(text []byte, fleet []core.ListedWorker, opts ApplyOptions) Step {
+	doc, warnings, err := document.Validate(text, fleet)
+	if err != nil {
+		return finish(Result{Stderr: warningText(warnings) + err.Error() + "\n", Exit: ExitNotRun})
+	}
+	notes := warningText(warnings)
+	if opts.Base != nil {
+		return put(doc, *opts.Base, opts, notes)
+	}
+	return current(doc.Team, func(v *wire.DocumentVersion, _ *core.Document) Step {
+		return put(doc, v.Revision, opts, notes)
+	})
+}
+
+// current reads the document in force and goes on with it. If there is none, the
+// revision is 0 and the document nil.
+func current(team core.TeamName, then func(*wire.DocumentVersion, *core.Document) Step) Step {
+	req := read(documentPath(team), nil)
+	return Step{Send: req, Then: func(resp *Response) Step {
+		var v wire.DocumentVersion
+		p := decode(req, resp, &v)
+		if p != nil && p.reason == core.ReasonUnknownTeam {
+			return then(&wire.DocumentVersion{Team: team}, nil)
+		}
+		if p != nil {
+			return finish(p.result())
+		}
+		doc, err := document.Decode(v.Document)
+		if err != nil {
+			return finish(unreadable(v.Revision, err))
+		}
+		return then(&v, doc)
+	}}
+}
+
+// unreadable reports a document that this program does not understand, such as
+// one of a later schema.
+func unreadable(revision core.Revision, err error) Result {
+	return Result{
+		Stderr: fmt.Sprintf("document of revision %d is not understood: %v\n", revision, err),
+		Exit:   ExitUnreachable,
+	}
+}
+
+// put sends an edit.
+func put(doc *core.Document, base core.Revision, opts ApplyOptions, notes string) Step {
+	req := &Request{
+		Method: http.MethodPut, Path: documentPath(doc.Team), Body: document.Encode(doc),
+		Header: http.Header{
+			"Content-Type":     {"application/json"},
+			wire.HeaderIfMatch: {strconv.FormatInt(int64(base), 10)},
+			wire.HeaderAuthor:  {opts.Author},
+		},
+	}
+	return Step{Send: req, Then: func(resp *Response) Step {
+		var v wire.DocumentVersion
+		result := Result{}
+		switch p := decode(req, resp, &v); {
+		case p != nil && p.conflict != nil:
+			result = conflictResult(p, doc, base, opts.JSON)
+		case p != nil:
+			result = p.result()
+		case opts.JSON:
+			result.Stdout = indented(&v)
+		default:
+			result.Stdout = fmt.Sprintf("document of team %s applied at revision %d\n", doc.Team, v.Revision)
+		}
+		result.Stderr = notes + result.Stderr
+		return finish(result)
+	}}
+}
+
+// conflictResult shows the version in force and how the proposed one differs.
+func conflictResult(p *problem, proposed *core.Document, base core.Revision, asJSON bool) Result {
+	result := p.result()
+	if asJSON {
+		result.Stdout = indented(p.conflict)
+		return result
+	}
+	inForce := p.conflict.InForce
+	if inForce == nil {
+		result.Stderr += fmt.Sprintf("the edit is based on revision %d; no document is in force\n", base)
+		return result
+	}
+	result.Stderr += fmt.Sprintf("the edit is based on revision %d; in force is revision %d by %s at %s\n",
+		base, inForce.Revision, orDash(inForce.Author), clock(inForce.TimeUnixMS))
+	doc, err := document.Decode(inForce.Document)
+	if err != nil {
+		result.Stderr += unreadable(inForce.Revision, err).Stderr
+		return result
+	}
+	result.Stderr += "from the version in force to the proposed one:\n" + changesText(document.Diff(doc, proposed))
+	return result
+}
+
+func changesText(changes []document.Change) string {
+	var b strings.Builder
+	for _, c := range changes {
+		b.WriteString(c.String() + "\n")
+	}
+	return b.String()
+}
+
+// Get prints the document in force in a form that can be edited and applied.
+func Get(team core.TeamName, asJSON bool) Step {
+	return current(team, func(v *wire.DocumentVersion, doc *core.Document) Step {
+		if doc == nil {
+			return finish(Result{Stderr: fmt.Sprintf("team %q has no document\n", team), Exit: ExitNotRun})
+		}
+		if asJSON {
+			return finish(Result{Stdout: indented(v)})
+		}
+		return finish(Result{
+			Stdout: string(document.Encode(doc)),
+			Stderr: fmt.Sprintf("revision %d by %s at %s\n", v.Revision, orDash(v.Author), clock(v.TimeUnixMS)),
+		})
+	})
+}
+
+// History lists the latest versions of a document, the newest first.
+func History(team core.TeamName, asJSON bool) Step {
+	return show(read(documentPath(team)+"/"+wire.ElementHistory, nil), asJSON, historyTable)
+}
+
+func historyTable(h *wire.DocumentHistory) string {
+	rows := [][]string{{"REVISION", "TIME", "AUTHOR", "CHANGES"}}
+	for i, v := range h.Versions {
+		changes := "-" // the version before is not kept
+		if i+1 < len(h.Versions) {
+			changes = countChanges(h.Versions[i+1].Document, v.Document)
+		}
+		rows = append(rows, []string{fmt.Sprint(v.Revision), clock(v.TimeUnixMS), orDash(v.Author), changes})
+	}
+	return table(rows...)
+}
+
+// countChanges returns the number of fields that differ.
+func countChanges(old, new json.RawMessage) string {
+	before, err := document.Decode(old)
+	if err != nil {
+		return "unreadable"
+	}
+	after, err := document.Decode(new)
+	if err != nil {
+		return "unreadable"
+	}
+	return strconv.Itoa(len(document.Diff(before, after)))
+}
+
+// DiffFile compares the document in force with a file.
+func DiffFile(text []byte, asJSON bool) Step {
+	doc, err := document.Decode(text)
+	if err != nil {
+		return finish(Result{Stderr: err.Error() + "\n", Exit: ExitNotRun})
+	}
+	return current(doc.Team, func(v *wire.DocumentVersion, inForce *core.Document) Step {
+		return finish(diffResult(document.Diff(inForce, doc), asJSON))
+	})
+}
+
+// DiffRevisions compares two versions of a team's document.
+func DiffRevisions(team core.TeamName, from, to core.Revision, asJSON bool) Step {
+	req := read(documentPath(team)+"/"+wire.ElementHistory, nil)
+	return Step{Send: req, Then: func(resp *Response) Step {
+		var history wire.DocumentHistory
+		if p := decode(req, resp, &history); p != nil {
+			return finish(p.result())
+		}
+		var sides [2]*core.Document
+		for i, revision := range []core.Revision{from, to} {
+			at := slices.IndexFunc(history.Versions, func(v wire.DocumentVersion) bool { return v.Revision == revision })
+			if at < 0 {
+				return finish(Result{
+					Stderr: fmt.Sprintf("revision %d of team %q is not in the history\n", revision, team),
+					Exit:   ExitNotRun,
+				})
+			}
+			doc, err := document.Decode(history.Versions[at].Document)
+			if err != nil {
+				return finish(unreadable(revision, err))
+			}
+			sides[i] = doc
+		}
+		return finish(diffResult(document.Diff(sides[0], sides[1]), asJSON))
+	}}
+}
+
+func diffResult(changes []document.Change, asJSON bool) Result {
+	switch {
+	case asJSON:
+		return Result{Stdout: indented(append([]document.Change{}, changes...))}
+	case len(changes) == 0:
+		return Result{Stderr: "no differences\n"}
+	}
+	return Result{Stdout: changesText(changes)}
+}
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,114 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// maxInputBytes bounds a file or standard input.
+const maxInputBytes = 16 << 20
+
+// commands lists the commands in the order of the help text.
+func commands() []struct {
+	name, short string
+	planner     planner
+} {
+	return []struct {
+		name, short string
+		planner     planner
+	}{
+		{"validate", "check a document without an entry host", &validateCommand{}},
+		{"apply", "put a document in force", &applyCommand{}},
+		{"get", "print the document in force", &getCommand{}},
+		{"history", "list the latest versions of a document", &historyCommand{}},
+		{"diff", "compare a document with the one in force, or two revisions", &diffCommand{}},
+		{"submit", "submit jobs", &submitCommand{}},
+		{"status", "print the status of jobs", &statusCommand{}},
+		{"wait", "wait until jobs have ended", &waitCommand{}},
+		{"cancel", "cancel jobs", &cancelCommand{}},
+		{"explain", "say why a job waits or where it was placed", &explainCommand{}},
+		{"call", "make an interactive request", &callCommand{}},
+		{"hosts", "list the entry hosts", &hostsCommand{}},
+		{"workers", "list the workers", &workersCommand{}},
+		{"teams", "list the teams", &teamsCommand{}},
+	}
+}
+
+// Main runs the command line and returns its exit code.
+func Main(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) ExitCode {
+	env := &environment{
+		readFile: func(name string) ([]byte, error) { return readInput(name, stdin) },
+		newID:    rand.Text,
+	}
+	step, help := parse(args, env)
+	if help != "" {
+		fmt.Fprint(stdout, help)
+		return ExitOK
+	}
+	result := Run(ctx, NewClient(env.Entry, env.Timeout), step)
+	_, outErr := io.WriteString(stdout, result.Stdout)
+	_, errErr := io.WriteString(stderr, result.Stderr)
+	if err := errors.Join(outErr, errErr); err != nil && result.Exit == ExitOK {
+		return ExitUsage // the output is incomplete
+	}
+	return result.Exit
+}
+
+// parse reads the command line and returns the command's first step, or the help
+// text that was asked for. With GO_FLAGS_COMPLETION set, go-flags prints
+// completions and exits.
+func parse(args []string, env *environment) (step Step, help string) {
+	parser := flags.NewNamedParser("banyanctl", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", &env.Settings); err != nil {
+		return usage(err), ""
+	}
+	planners := map[string]planner{}
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.planner); err != nil {
+			return usage(err), ""
+		}
+		planners[c.name] = c.planner
+	}
+	rest, err := parser.ParseArgs(args)
+	var flagErr *flags.Error
+	if errors.As(err, &flagErr) && flagErr.Type == flags.ErrHelp {
+		return Step{}, flagErr.Message + "\n"
+	}
+	if err != nil {
+		return usage(err), ""
+	}
+	if len(rest) > 0 {
+		return usage(fmt.Errorf("unexpected argument %q", rest[0])), ""
+	}
+	if err := env.check(); err != nil {
+		return usage(err), ""
+	}
+	return planners[parser.Active.Name].plan(env), ""
+}
+
+// readInput reads a file, or stdin for "-".
+func readInput(name string, stdin io.Reader) ([]byte, error) {
+	in := stdin
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		in = file
+	}
+	text, err := io.ReadAll(io.LimitReader(in, maxInputBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", name, err)
+	}
+	if len(text) > maxInputBytes {
+		return nil, fmt.Errorf("%s has more than %d bytes", name, maxInputBytes)
+	}
+	return text, nil
+}
--- /dev/null
+++ b/ctl/plan.go
@@ -0,0 +1,202 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jessevdk/go-flags"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// fleet reads a topology file; without one, the fleet is not known.
+func (env *environment) fleet(file flags.Filename) ([]core.ListedWorker, error) {
+	if file == "" {
+		return nil, nil
+	}
+	text, err := env.readFile(string(file))
+	if err != nil {
+		return nil, err
+	}
+	return ParseTopology(text)
+}
+
+// input returns a text that is given by a flag or in a file.
+func (env *environment) input(setting, text string, file flags.Filename) ([]byte, error) {
+	if file == "" {
+		return []byte(text), nil
+	}
+	if text != "" {
+		return nil, fmt.Errorf("settings %s and %s-file exclude each other", setting, setting)
+	}
+	return env.readFile(string(file))
+}
+
+func (c *validateCommand) plan(env *environment) Step {
+	fleet, err := env.fleet(c.Topology)
+	if err != nil {
+		return usage(err)
+	}
+	text, err := env.readFile(string(c.Args.File))
+	if err != nil {
+		return usage(err)
+	}
+	return Validate(text, fleet, c.Strict)
+}
+
+func (c *applyCommand) plan(env *environment) Step {
+	if err := checkAuthor(c.Author); err != nil {
+		return usage(err)
+	}
+	if c.Base != nil && *c.Base < 0 {
+		return usage(&settingError{"--base (BANYANCTL_BASE)", *c.Base, "a revision, or 0 to create"})
+	}
+	fleet, err := env.fleet(c.Topology)
+	if err != nil {
+		return usage(err)
+	}
+	text, err := env.readFile(string(c.Args.File))
+	if err != nil {
+		return usage(err)
+	}
+	return Apply(text, fleet, ApplyOptions{Author: c.Author, Base: c.Base, JSON: env.JSON})
+}
+
+func (c *getCommand) plan(env *environment) Step {
+	if err := checkElement("TEAM", c.Args.Team); err != nil {
+		return usage(err)
+	}
+	return Get(c.Args.Team, env.JSON)
+}
+
+func (c *historyCommand) plan(env *environment) Step {
+	if err := checkElement("TEAM", c.Args.Team); err != nil {
+		return usage(err)
+	}
+	return History(c.Args.Team, env.JSON)
+}
+
+func (c *diffCommand) plan(env *environment) Step {
+	if c.Args.File != "" {
+		text, err := env.readFile(string(c.Args.File))
+		if err != nil {
+			return usage(err)
+		}
+		return DiffFile(text, env.JSON)
+	}
+	if err := checkElement("--team (BANYANCTL_TEAM)", c.Team); err != nil {
+		return usage(fmt.Errorf("give a FILE, or --team with --from and --to: %w", err))
+	}
+	if c.From < 1 || c.To < 1 {
+		return usage(&settingError{"--from and --to", fmt.Sprintf("%d, %d", c.From, c.To), "revisions of the history, from 1"})
+	}
+	return DiffRevisions(c.Team, c.From, c.To, env.JSON)
+}
+
+func (c *submitCommand) plan(env *environment) Step {
+	jobs, err := c.jobs(env)
+	if err != nil {
+		return usage(err)
+	}
+	if c.Batch {
+		return SubmitBatch(jobs, env.JSON)
+	}
+	return Submit(jobs, env.JSON)
+}
+
+// jobs reads the jobs of a file, or the single job that the flags describe.
+func (c *submitCommand) jobs(env *environment) ([]wire.JobRequest, error) {
+	if c.File != "" {
+		if c.Kind != "" || c.ID != "" || c.Payload != "" || c.PayloadFile != "" {
+			return nil, errors.New("setting --file excludes --kind, --id, --payload and --payload-file")
+		}
+		text, err := env.readFile(string(c.File))
+		if err != nil {
+			return nil, err
+		}
+		jobs, err := ParseJobs(text)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", c.File, err)
+		}
+		return jobs, nil
+	}
+	if c.Team == "" || c.Kind == "" {
+		return nil, errors.New("give --file, or --team and --kind")
+	}
+	payload, err := env.input("--payload", c.Payload, c.PayloadFile)
+	if err != nil {
+		return nil, err
+	}
+	if c.ID == "" {
+		c.ID = core.JobID(env.newID())
+	}
+	return []wire.JobRequest{{ID: c.ID, Team: c.Team, Kind: c.Kind, Payload: payload}}, nil
+}
+
+// check returns an error if an id cannot be an element of a path.
+func (a *jobsArgs) check() error {
+	for _, id := range a.IDs {
+		if err := checkElement("ID", id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *statusCommand) plan(env *environment) Step {
+	if err := c.Args.check(); err != nil {
+		return usage(err)
+	}
+	return Status(c.Args.IDs, env.JSON)
+}
+
+func (c *waitCommand) plan(env *environment) Step {
+	if err := errors.Join(c.Args.check(), checkDuration("--limit (BANYANCTL_LIMIT)", c.Limit, minWait, maxWait)); err != nil {
+		return usage(err)
+	}
+	return Wait(c.Args.IDs, c.Limit, env.JSON)
+}
+
+func (c *cancelCommand) plan(env *environment) Step {
+	if err := c.Args.check(); err != nil {
+		return usage(err)
+	}
+	return Cancel(c.Args.IDs, env.JSON)
+}
+
+func (c *explainCommand) plan(env *environment) Step {
+	if err := checkElement("ID", c.Args.ID); err != nil {
+		return usage(err)
+	}
+	return Explain(c.Args.ID, env.JSON)
+}
+
+func (c *callCommand) plan(env *environment) Step {
+	if err := errors.Join(checkElement("TEAM", c.Args.Team), checkElement("KIND", c.Args.Kind)); err != nil {
+		return usage(err)
+	}
+	body, err := env.input("--data", c.Data, c.DataFile)
+	if err != nil {
+		return usage(err)
+	}
+	if c.ID == "" {
+		c.ID = env.newID()
+	}
+	return Call(c.Args.Team, c.Args.Kind, c.ID, body, env.JSON)
+}
+
+func (c *hostsCommand) plan(env *environment) Step { return Hosts(env.JSON) }
+
+func (c *workersCommand) plan(env *environment) Step {
+	if c.State == "" {
+		return Workers(nil, env.JSON)
+	}
+	var state core.WorkerState
+	if err := state.UnmarshalText([]byte(c.State)); err != nil {
+		return usage(err)
+	}
+	return Workers(&state, env.JSON)
+}
+
+func (c *teamsCommand) plan(env *environment) Step { return Teams(c.Team, env.JSON) }
--- /dev/null
+++ b/ctl/settings.go
@@ -0,0 +1,183 @@
+package ctl
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/jessevdk/go-flags"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// Limits of the settings.
+const (
+	minTimeout = 100 * time.Millisecond
+	maxTimeout = 10 * time.Minute
+	minWait    = time.Second
+	maxWait    = 24 * time.Hour
+	maxAuthor  = 64
+)
+
+// Settings are the flags of every command. Each flag has an environment
+// variable.
+type Settings struct {
+	Entry   []string      `long:"entry" env:"BANYANCTL_ENTRY" env-delim:"," default:"127.0.0.1:7400" value-name:"IP:PORT" description:"entry host; may be repeated, the next one is tried if one cannot be reached"`
+	Timeout time.Duration `long:"timeout" env:"BANYANCTL_TIMEOUT" default:"10s" value-name:"DURATION" description:"bound for each request"`
+	JSON    bool          `long:"json" env:"BANYANCTL_JSON" description:"print JSON instead of tables"`
+}
+
+// settingError says which setting has a value that is not allowed.
+type settingError struct {
+	setting string
+	value   any
+	allowed string
+}
+
+// Error implements error.
+func (e *settingError) Error() string {
+	return fmt.Sprintf("setting %s: %q is not allowed; allowed: %s", e.setting, fmt.Sprint(e.value), e.allowed)
+}
+
+// check returns an error if a setting has a value that is not allowed.
+func (s *Settings) check() error {
+	for _, entry := range s.Entry {
+		if addr, err := netip.ParseAddrPort(entry); err != nil || addr.Port() == 0 {
+			return &settingError{"--entry (BANYANCTL_ENTRY)", entry, "an IP address and a port, such as 127.0.0.1:7400"}
+		}
+	}
+	return checkDuration("--timeout (BANYANCTL_TIMEOUT)", s.Timeout, minTimeout, maxTimeout)
+}
+
+func checkDuration(setting string, d, low, high time.Duration) error {
+	if d < low || d > high {
+		return &settingError{setting, d, fmt.Sprintf("%v to %v", low, high)}
+	}
+	return nil
+}
+
+// checkAuthor returns an error if author cannot be sent in a header.
+func checkAuthor(author string) error {
+	printable := utf8.ValidString(author)
+	for _, r := range author {
+		printable = printable && r < unicode.MaxASCII && unicode.IsPrint(r)
+	}
+	if author == "" || len(author) > maxAuthor || !printable {
+		return &settingError{"--author (BANYANCTL_AUTHOR)", author, fmt.Sprintf("1 to %d printable ASCII characters", maxAuthor)}
+	}
+	return nil
+}
+
+// checkElement returns an error if value cannot be an element of a path.
+func checkElement[T ~string](setting string, value T) error {
+	if value == "" || value == "." || value == ".." {
+		return &settingError{setting, value, `any text but "", "." and ".."`}
+	}
+	return nil
+}
+
+// environment is what planning a command may read.
+type environment struct {
+	Settings
+	// readFile reads a file, or standard input for "-".
+	readFile func(name string) ([]byte, error)
+	// newID returns a new unique id.
+	newID func() string
+}
+
+// planner is a command: its flags, and its first step.
+type planner interface{ plan(env *environment) Step }
+
+type validateCommand struct {
+	Topology flags.Filename `long:"topology" env:"BANYANCTL_TOPOLOGY" description:"check against the workers of this topology file"`
+	Strict   bool           `long:"strict" env:"BANYANCTL_STRICT" description:"refuse a document with warnings"`
+	Args     struct {
+		File flags.Filename `positional-arg-name:"FILE" description:"document, or - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type applyCommand struct {
+	Topology flags.Filename `long:"topology" env:"BANYANCTL_TOPOLOGY" description:"check against the workers of this topology file"`
+	Author   string         `long:"author" env:"BANYANCTL_AUTHOR" description:"who makes the edit"`
+	Base     *core.Revision `long:"base" env:"BANYANCTL_BASE" description:"revision that was edited; 0 creates; without it, the one in force is replaced"`
+	Args     struct {
+		File flags.Filename `positional-arg-name:"FILE" description:"document, or - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type getCommand struct {
+	Args struct {
+		Team core.TeamName `positional-arg-name:"TEAM"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type historyCommand struct {
+	Args struct {
+		Team core.TeamName `positional-arg-name:"TEAM"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type diffCommand struct {
+	Team core.TeamName `long:"team" env:"BANYANCTL_TEAM" description:"compare two revisions of this team instead of a file"`
+	From core.Revision `long:"from" env:"BANYANCTL_FROM" description:"older revision, with --team"`
+	To   core.Revision `long:"to" env:"BANYANCTL_TO" description:"newer revision, with --team"`
+	Args struct {
+		File flags.Filename `positional-arg-name:"FILE" description:"document to compare with the one in force"`
+	} `positional-args:"yes"`
+}
+
+type submitCommand struct {
+	File        flags.Filename `long:"file" env:"BANYANCTL_FILE" description:"file of jobs, or - for standard input"`
+	Batch       bool           `long:"batch" env:"BANYANCTL_BATCH" description:"send all jobs of the file in one request"`
+	Team        core.TeamName  `long:"team" env:"BANYANCTL_TEAM" description:"team of a single job"`
+	Kind        core.KindName  `long:"kind" env:"BANYANCTL_KIND" description:"kind of a single job"`
+	ID          core.JobID     `long:"id" env:"BANYANCTL_ID" description:"id of a single job; random by default"`
+	Payload     string         `long:"payload" env:"BANYANCTL_PAYLOAD" description:"payload of a single job"`
+	PayloadFile flags.Filename `long:"payload-file" env:"BANYANCTL_PAYLOAD_FILE" description:"file with the payload, or - for standard input"`
+}
+
+// jobsArgs are the arguments of commands on several jobs.
+type jobsArgs struct {
+	IDs []core.JobID `positional-arg-name:"ID" required:"1"`
+}
+
+type statusCommand struct {
+	Args jobsArgs `positional-args:"yes"`
+}
+
+type waitCommand struct {
+	Limit time.Duration `long:"limit" env:"BANYANCTL_LIMIT" default:"5m" value-name:"DURATION" description:"longest wait for each job"`
+	Args  jobsArgs      `positional-args:"yes"`
+}
+
+type cancelCommand struct {
+	Args jobsArgs `positional-args:"yes"`
+}
+
+type explainCommand struct {
+	Args struct {
+		ID core.JobID `positional-arg-name:"ID"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type callCommand struct {
+	ID       string         `long:"id" env:"BANYANCTL_ID" description:"request id; random by default"`
+	Data     string         `long:"data" env:"BANYANCTL_DATA" description:"body of the request"`
+	DataFile flags.Filename `long:"data-file" env:"BANYANCTL_DATA_FILE" description:"file with the body, or - for standard input"`
+	Args     struct {
+		Team core.TeamName `positional-arg-name:"TEAM"`
+		Kind core.KindName `positional-arg-name:"KIND"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type hostsCommand struct{}
+
+type workersCommand struct {
+	State string `long:"state" env:"BANYANCTL_STATE" choice:"unfenced" choice:"ready" choice:"leaving" choice:"silent" choice:"suspended" description:"list only workers in this state"`
+}
+
+type teamsCommand struct {
+	Team core.TeamName `long:"team" env:"BANYANCTL_TEAM" description:"list only this team"`
+}
--- /dev/null
+++ b/ctl/table.go
@@ -0,0 +1,61 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"banyanrun.example/banyanrun/wire"
+)
+
+// table lays out rows in aligned columns. The first row is the heading.
+func table(rows ...[]string) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	w.Flush()
+	var out strings.Builder
+	for line := range strings.Lines(b.String()) {
+		out.WriteString(strings.TrimRight(line, " \n") + "\n")
+	}
+	return out.String()
+}
+
+// orDash stands for an empty value, so that columns stay visible to awk and cut.
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+// millis formats a duration given in milliseconds.
+func millis(ms int64) string { return (time.Duration(ms) * time.Millisecond).String() }
+
+// clock formats a time given in milliseconds since the Unix epoch.
+func clock(ms int64) string {
+	return time.UnixMilli(ms).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+// part formats how much of a whole is in use.
+func part(used, whole int64) string { return fmt.Sprintf("%d/%d", used, whole) }
+
+// cpus formats milli-processors as processors.
+func cpus(milli int64) string {
+	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.3f", float64(milli)/1000), "0"), ".")
+}
+
+// resourceCells formats how much of each resource is in use.
+func resourceCells(used, whole wire.Resources) []string {
+	return []string{
+		cpus(used.MilliCPU) + "/" + cpus(whole.MilliCPU), part(used.MemoryMB, whole.MemoryMB),
+		part(used.Accelerators, whole.Accelerators), part(used.Slots, whole.Slots),
+		part(used.Connections, whole.Connections),
+	}
+}
+
+// resourceHeads are the headings of resourceCells.
+var resourceHeads = []string{"CPUS", "MEMORY_MB", "ACCELERATORS", "SLOTS", "CONNECTIONS"}
