--- a/core/event.go
+++ b/core/event.go
@@ -58,7 +58,8 @@
 		Request RequestID
 		View    View
 		// Team restricts the view, or is empty.
-		Team TeamName
+		Team      TeamName
+		Forwarded bool
 	}
 	// DrainRequested begins a planned stop.
 	DrainRequested struct{}
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -339,6 +339,10 @@
 	r.journal = newJournal(r.cfg.JournalRate)
 	r.reserve = newReservations()
 	r.grants = newGrantTable()
+	r.held, r.throttledTasks, r.resuming = nil, nil, false
+	for _, t := range r.docs.teams {
+		t.used, t.queued = Resources{}, 0
+	}
 	r.fleet.forget()
 	r.emit(SetGrants{})
 }
--- a/core/peers.go
+++ b/core/peers.go
@@ -22,17 +22,15 @@
 
 // peer is another entry host of the data centre.
 type peer struct {
-	host      ListedHost
-	heard     Time
-	last      Heartbeat
-	sentGrant uint64
+	host  ListedHost
+	heard Time
+	last  Heartbeat
 }
 
 // remote is the owner of another data centre.
 type remote struct {
 	summary Summary
 	heard   Time
-	sent    Time
 }
 
 // peers holds the other hosts.
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -81,8 +81,14 @@
 	throttledTasks []taskKey
 	nextUnthrottle Time
 
-	draining bool
-	stopped  bool
+	// held lists durable assignments that wait for a certain lease.
+	held []TaskRef
+
+	nextServices Time
+	wasReady     bool
+	draining     bool
+	drainSince   Time
+	stopped      bool
 	// dirty is set when placement may succeed that did not before.
 	dirty bool
 	// resuming is set while a Resume is outstanding.
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -148,6 +148,10 @@
 		r.endUnstarted(j)
 		return
 	}
+	if !r.leaseValid() {
+		r.held = append(r.held, ref)
+		return
+	}
 	r.sendStart(j, t)
 }
 
--- /dev/null
+++ b/core/service.go
@@ -0,0 +1,163 @@
+package core
+
+import (
+	"strconv"
+	"time"
+)
+
+// servicePeriod is how often replica counts are compared with the documents.
+const servicePeriod = time.Second
+
+// serviceKey names one long-running service.
+type serviceKey struct {
+	team    TeamName
+	service string
+}
+
+// replicaID names a replica. It is the same under every owner, so that a new
+// owner recognises the replicas that run.
+func replicaID(key serviceKey, n int) JobID {
+	return JobID("service/" + string(key.team) + "/" + key.service + "/" + strconv.Itoa(n))
+}
+
+// tickServices keeps the replicas of the long-running services that the
+// documents declare.
+func (r *Reducer) tickServices() {
+	if r.owner.role != roleOwner || r.now < r.nextServices {
+		return
+	}
+	r.nextServices = r.now.Add(servicePeriod)
+	declared := map[serviceKey]bool{}
+	for _, t := range r.docs.teams {
+		for i := range t.doc().Services {
+			s := &t.doc().Services[i]
+			kind, ok := t.doc().Kind(s.Kind)
+			if ok && s.runsIn(r.cfg.DataCentre) {
+				key := serviceKey{t.name, s.Name}
+				declared[key] = true
+				r.keepReplicas(key, s, kind)
+			}
+		}
+	}
+	for _, j := range r.jobs.ordered() {
+		if j.service != "" && !declared[serviceKey{j.spec.Team, j.service}] {
+			r.retireReplica(j)
+		}
+	}
+}
+
+// runsIn reports whether the service has replicas in a data centre.
+func (s *Service) runsIn(dc DataCentre) bool {
+	for _, d := range s.DataCentres {
+		if d == dc {
+			return true
+		}
+	}
+	return len(s.DataCentres) == 0
+}
+
+// keepReplicas adds and retires replicas of one service, and replaces those of
+// an older document one at a time.
+func (r *Reducer) keepReplicas(key serviceKey, s *Service, kind *Kind) {
+	running := r.jobs.services[key]
+	kept := running[:0]
+	for _, j := range running {
+		if !j.state.Final() {
+			kept = append(kept, j)
+		}
+	}
+	running = kept
+	have := map[JobID]*job{}
+	for _, j := range running {
+		have[j.spec.ID] = j
+	}
+	down := 0
+	for n := range s.Replicas {
+		id := replicaID(key, n)
+		j := have[id]
+		delete(have, id)
+		if j == nil {
+			j = r.addReplica(key, id, kind)
+			running = append(running, j)
+		}
+		if j.state != JobRunning {
+			down++
+		}
+	}
+	r.jobs.services[key] = running
+	for _, j := range running {
+		if have[j.spec.ID] != nil {
+			r.retireReplica(j)
+		}
+	}
+	if down == 0 {
+		r.replaceOne(running, kind)
+	}
+}
+
+// addReplica creates a replica. Until every worker has answered the current
+// epoch it may already run somewhere.
+func (r *Reducer) addReplica(key serviceKey, id JobID, kind *Kind) *job {
+	j := r.newJob(JobSpec{ID: id, Team: key.team, Kind: kind.Name, Submitted: r.now}, kind)
+	j.tasks = j.tasks[:1]
+	j.service = key.service
+	r.jobs.add(j)
+	j.state = JobSettling
+	if r.fleet.allSettled() {
+		r.requeue(j)
+	}
+	return j
+}
+
+// retireReplica stops a replica that is no longer wanted.
+func (r *Reducer) retireReplica(j *job) {
+	if j.state.Final() || j.cancelled {
+		return
+	}
+	j.cancelled = true
+	switch {
+	case j.state == JobSettling:
+	case j.runsSomewhere():
+		r.stopTasks(j)
+	default:
+		r.endUnstarted(j)
+	}
+}
+
+// replaceOne restarts one replica whose kind has changed since it started. The
+// next one follows when all replicas run again.
+func (r *Reducer) replaceOne(running []*job, kind *Kind) {
+	for _, j := range running {
+		if j.kind == kind || sameRun(j.kind, kind) || j.cancelled {
+			continue
+		}
+		j.kind = kind
+		r.stopTasks(j)
+		return
+	}
+}
+
+// sameRun reports whether a replica of kind a needs no restart to be one of b.
+func sameRun(a, b *Kind) bool { return a.Request == b.Request && a.Name == b.Name }
+
+// onKindsChanged makes waiting jobs follow the documents in force.
+func (r *Reducer) onKindsChanged() {
+	if !r.owner.active() {
+		return
+	}
+	r.dirty = true
+	r.nextServices = r.now
+	for _, k := range r.queues.busy {
+		kind := r.docs.kind(k.key.team, k.key.kind)
+		if kind == nil {
+			continue
+		}
+		k.urgency, k.team = kind.Urgency, r.docs.team(k.key.team)
+		for _, j := range k.jobs[k.head:] {
+			if j != nil && j.inQueue && len(j.tasks) == max(1, kind.GangSize) {
+				j.kind = kind
+			}
+		}
+		k.blocked = false
+	}
+}
