--- /dev/null
+++ b/exchange/exchange.go
@@ -0,0 +1,182 @@
+// Package exchange performs single HTTP/1.1 exchanges and says of a failed one
+// whether any byte of the request may have reached the server.
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+)
+
+// IdleTimeout is how long an unused connection is kept. Open connections can go
+// silent for good, and an idle one gives no sign of it.
+const IdleTimeout = 30 * time.Second
+
+// Errors that a Failure wraps.
+var (
+	// ErrNoProgress means that no byte moved for the progress limit.
+	ErrNoProgress = errors.New("no progress on the connection")
+	// ErrTooLarge means that the answer is larger than allowed.
+	ErrTooLarge = errors.New("answer exceeds the size limit")
+	// ErrNoLength means that the answer does not declare its length.
+	ErrNoLength = errors.New("answer declares no length")
+)
+
+// Failure is the error of an exchange without a whole answer.
+type Failure struct {
+	// Written is false only if no byte of the request was written, nor will
+	// be.
+	Written bool
+	Err     error
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	if f.Written {
+		return fmt.Sprintf("no whole answer to a request that was written: %v", f.Err)
+	}
+	return fmt.Sprintf("request was not written: %v", f.Err)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Err }
+
+// Request is one request. The body is sent whole.
+type Request struct {
+	Method string
+	URL    string
+	Header http.Header
+	Body   []byte
+	// Timeout bounds the whole exchange, if it is not zero.
+	Timeout time.Duration
+	// Progress bounds the time in which no byte moves, if it is not zero.
+	Progress time.Duration
+	// MaxBody is the greatest length of the answer's body.
+	MaxBody int64
+}
+
+// Response is a whole answer.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Client performs exchanges over kept connections.
+type Client struct{ transport *http.Transport }
+
+// NewClient returns a client that dials within dialTimeout and keeps at most
+// idlePerHost unused connections to an address.
+func NewClient(dialTimeout time.Duration, idlePerHost int) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{transport: &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &trackedConn{Conn: conn}, nil
+		},
+		IdleConnTimeout:     IdleTimeout,
+		MaxIdleConnsPerHost: idlePerHost,
+		DisableCompression:  true,
+	}}
+}
+
+// Close drops unused connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// attempt is the state of one exchange.
+type attempt struct {
+	mu    sync.Mutex
+	conns []*trackedConn
+}
+
+// fail seals every connection that the exchange used, so that none is reused and
+// no late write can follow.
+func (a *attempt) fail(err error) *Failure {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f := &Failure{Err: err}
+	for _, conn := range a.conns {
+		if conn.seal() {
+			f.Written = true
+		}
+	}
+	return f
+}
+
+// gotConn claims the connection that the transport picked.
+func (a *attempt) gotConn(conn net.Conn, progress func()) {
+	tracked, ok := conn.(*trackedConn)
+	if !ok {
+		return
+	}
+	tracked.claim(progress)
+	a.mu.Lock()
+	a.conns = append(a.conns, tracked)
+	a.mu.Unlock()
+}
+
+// Do performs one exchange. A non-nil failure means that there is no whole
+// answer; its connection is closed.
+func (c *Client) Do(ctx context.Context, r Request) (*Response, *Failure) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if r.Timeout > 0 {
+		bounded, stop := context.WithTimeout(ctx, r.Timeout)
+		defer stop()
+		ctx = bounded
+	}
+	progress := func() {}
+	if r.Progress > 0 {
+		timer := time.AfterFunc(r.Progress, func() { cancel(ErrNoProgress) })
+		defer timer.Stop()
+		progress = func() { timer.Reset(r.Progress) }
+	}
+	a := &attempt{}
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { a.gotConn(info.Conn, progress) },
+	})
+	req, err := http.NewRequestWithContext(traced, r.Method, r.URL, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, a.fail(err)
+	}
+	if r.Header != nil {
+		req.Header = r.Header
+	}
+	answer, err := c.transport.RoundTrip(req)
+	if err == nil {
+		var response *Response
+		if response, err = readAnswer(answer, r.MaxBody); err == nil {
+			return response, nil
+		}
+	}
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return nil, a.fail(err)
+}
+
+// readAnswer reads the whole body or fails.
+func readAnswer(answer *http.Response, limit int64) (*Response, error) {
+	defer answer.Body.Close()
+	switch {
+	case answer.ContentLength < 0:
+		return nil, ErrNoLength
+	case answer.ContentLength > limit:
+		return nil, fmt.Errorf("%w: %d bytes, allowed %d", ErrTooLarge, answer.ContentLength, limit)
+	}
+	body := make([]byte, answer.ContentLength)
+	if _, err := io.ReadFull(answer.Body, body); err != nil {
+		return nil, err
+	}
+	return &Response{Status: answer.StatusCode, Header: answer.Header, Body: body}, nil
+}
