Add the stand-in's reducers for the platform and a worker

Cause: the scheduler is measured at the workers and the store, which need fault switches and an account that the scheduler cannot influence. Change: standin/store and standin/worker are reducers over events with explicit times; neither performs I/O nor reads a clock.

--- /dev/null
+++ b/standin/store/hosts.go
@@ -0,0 +1,76 @@
+package store
+
+import (
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// hostList is the published host list and the changes that it does not show yet.
+// A published list is never changed in place: answers may still refer to it.
+type hostList struct {
+	published wire.HostList
+	pending   []change
+}
+
+// change is one change of the list.
+type change struct {
+	at   core.Time
+	body EventBody
+}
+
+// publish applies the changes that are older than lag. It returns the workers
+// that the list now shows as leaving or no longer shows.
+func (h *hostList) publish(now core.Time, lag time.Duration) (leaving []string) {
+	for len(h.pending) > 0 && h.pending[0].at.Add(lag) <= now {
+		body := h.pending[0].body
+		h.pending = h.pending[1:]
+		switch b := body.(type) {
+		case WorkerListed:
+			h.published.Workers = replace(h.published.Workers, b.Worker, b.Worker.ID, workerID)
+			if b.Worker.Leaving {
+				leaving = append(leaving, b.Worker.ID)
+			}
+		case WorkerLeft:
+			h.published.Workers = leave(h.published.Workers, b.ID, b.Gone, workerID,
+				func(w *wire.ListedWorker) { w.Leaving = true })
+			leaving = append(leaving, b.ID)
+		case HostListed:
+			h.published.Hosts = replace(h.published.Hosts, b.Host, b.Host.ID, hostID)
+		case HostLeft:
+			h.published.Hosts = leave(h.published.Hosts, b.ID, b.Gone, hostID,
+				func(l *wire.ListedHost) { l.Leaving = true })
+		}
+	}
+	return leaving
+}
+
+func workerID(w wire.ListedWorker) string { return w.ID }
+func hostID(h wire.ListedHost) string     { return h.ID }
+
+// replace returns a copy of list in which the element with the id is e.
+func replace[E any](list []E, e E, id string, idOf func(E) string) []E {
+	list = slices.Clone(list)
+	if i := slices.IndexFunc(list, func(o E) bool { return idOf(o) == id }); i >= 0 {
+		list[i] = e
+		return list
+	}
+	return append(list, e)
+}
+
+// leave returns a copy of list in which the element with the id is marked, or
+// missing if gone is set.
+func leave[E any](list []E, id string, gone bool, idOf func(E) string, mark func(*E)) []E {
+	list = slices.Clone(list)
+	i := slices.IndexFunc(list, func(o E) bool { return idOf(o) == id })
+	switch {
+	case i < 0:
+		return list
+	case gone:
+		return slices.Delete(list, i, i+1)
+	}
+	mark(&list[i])
+	return list
+}
--- /dev/null
+++ b/standin/store/keys.go
@@ -0,0 +1,142 @@
+package store
+
+import (
+	"strings"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+
+	"github.com/google/btree"
+)
+
+// treeDegree is the branching factor of the key tree.
+const treeDegree = 32
+
+// version is one state of a key.
+type version struct {
+	at       core.Time
+	value    []byte
+	revision int64
+	deleted  bool
+}
+
+// entry is a key with its versions, oldest first. Only the newest is kept unless
+// stale reads are switched on.
+type entry struct {
+	key      string
+	lease    string
+	versions []version
+}
+
+func (e *entry) newest() *version { return &e.versions[len(e.versions)-1] }
+
+// asOf returns the version in force at a time, or nil.
+func (e *entry) asOf(at core.Time) *version {
+	for i := len(e.versions) - 1; i >= 0; i-- {
+		if v := &e.versions[i]; v.at <= at {
+			return v
+		}
+	}
+	return nil
+}
+
+// keys is the ordered key space.
+type keys struct {
+	tree       *btree.BTreeG[*entry]
+	live       int
+	valueBytes int64
+}
+
+func newKeys() *keys {
+	return &keys{tree: btree.NewG(treeDegree, func(a, b *entry) bool { return a.key < b.key })}
+}
+
+// find returns a key that exists now, or nil.
+func (k *keys) find(key string) *entry {
+	e, ok := k.tree.Get(&entry{key: key})
+	if !ok || e.newest().deleted {
+		return nil
+	}
+	return e
+}
+
+// set appends a version. Versions older than the one in force at keepFrom are
+// dropped, and a key without any live version is forgotten.
+func (k *keys) set(key, lease string, v version, keepFrom core.Time) {
+	e, ok := k.tree.Get(&entry{key: key})
+	if !ok {
+		if v.deleted {
+			return
+		}
+		e = &entry{key: key}
+		k.tree.ReplaceOrInsert(e)
+	} else if old := e.newest(); !old.deleted {
+		k.live--
+		k.valueBytes -= int64(len(old.value))
+	}
+	if !v.deleted {
+		k.live++
+		k.valueBytes += int64(len(v.value))
+	}
+	e.lease = lease
+	e.versions = append(e.versions, v)
+	e.trim(keepFrom)
+	if len(e.versions) == 1 && v.deleted {
+		k.tree.Delete(e)
+	}
+}
+
+// trim drops the versions that no read as of keepFrom or later can see.
+func (e *entry) trim(keepFrom core.Time) {
+	first := 0
+	for i, v := range e.versions {
+		if v.at <= keepFrom {
+			first = i
+		}
+	}
+	e.versions = append([]version(nil), e.versions[first:]...)
+}
+
+// trimAll trims every key.
+func (k *keys) trimAll(keepFrom core.Time) {
+	var gone []*entry
+	k.tree.Ascend(func(e *entry) bool {
+		e.trim(keepFrom)
+		if len(e.versions) == 1 && e.newest().deleted {
+			gone = append(gone, e)
+		}
+		return true
+	})
+	for _, e := range gone {
+		k.tree.Delete(e)
+	}
+}
+
+// get returns a key as of a time.
+func (k *keys) get(key string, at core.Time) (wire.Item, bool) {
+	e, ok := k.tree.Get(&entry{key: key})
+	if !ok {
+		return wire.Item{}, false
+	}
+	v := e.asOf(at)
+	if v == nil || v.deleted {
+		return wire.Item{}, false
+	}
+	return wire.Item{Key: key, Value: v.value, Revision: v.revision}, true
+}
+
+// list returns the keys with a prefix as of a time whose revision is greater than
+// since.
+func (k *keys) list(prefix string, since int64, at core.Time) []wire.Item {
+	items := []wire.Item{}
+	k.tree.AscendGreaterOrEqual(&entry{key: prefix}, func(e *entry) bool {
+		if !strings.HasPrefix(e.key, prefix) {
+			return false
+		}
+		if v := e.asOf(at); v != nil && !v.deleted && v.revision > since {
+			items = append(items, wire.Item{Key: e.key, Value: v.value, Revision: v.revision})
+		}
+		return true
+	})
+	return items
+}
--- /dev/null
+++ b/standin/store/reducer.go
@@ -0,0 +1,284 @@
+package store
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Limits are the store's rate limits in calls per second. A limit of zero admits
+// everything.
+type Limits struct {
+	Reads  float64
+	Writes float64
+}
+
+// Reducer is the platform's state.
+type Reducer struct {
+	keys     *keys
+	leases   map[string]*lease
+	watches  []watch
+	hosts    hostList
+	faults   Faults
+	revision int64
+	leaseSeq uint64
+	writes   int64
+	reads    bucket
+	writing  bucket
+	calls    map[Kind]int64
+	limited  int64
+	refused  int64
+	lost     int64
+	// staleSince is when stale reads were switched on.
+	staleSince core.Time
+	wake       core.Time
+	now        core.Time
+	out        []Effect
+}
+
+// lease is a live lease.
+type lease struct {
+	id         string
+	timeToLive time.Duration
+	expires    core.Time
+}
+
+// watch is a waiting watch.
+type watch struct {
+	request RequestID
+	call    Watch
+	until   core.Time
+}
+
+// New returns a store that holds nothing and lists the given workers and hosts.
+func New(limits Limits, faults Faults, list wire.HostList) *Reducer {
+	return &Reducer{
+		keys: newKeys(), leases: map[string]*lease{}, calls: map[Kind]int64{},
+		reads: bucket{rate: limits.Reads}, writing: bucket{rate: limits.Writes},
+		faults: faults, hosts: hostList{published: list},
+	}
+}
+
+// Step applies one event.
+func (r *Reducer) Step(e Event) []Effect {
+	r.out = nil
+	r.now = max(r.now, e.At)
+	r.advance()
+	switch b := e.Body.(type) {
+	case Asked:
+		r.ask(b.Request, b.Call)
+	case Abandoned:
+		r.watches = slices.DeleteFunc(r.watches, func(w watch) bool { return w.request == b.Request })
+	case FaultsSet:
+		r.setFaults(b.Faults)
+	case StatusAsked:
+		r.emit(Answer{Request: b.Request, Body: r.report()})
+	case WorkerListed, WorkerLeft, HostListed, HostLeft:
+		r.hosts.pending = append(r.hosts.pending, change{at: r.now, body: b})
+		r.advance()
+	}
+	r.scheduleWake()
+	return r.out
+}
+
+func (r *Reducer) emit(f Effect) { r.out = append(r.out, f) }
+
+// ask counts a call, applies the outage and the rate limits, and carries it out.
+func (r *Reducer) ask(request RequestID, call Call) {
+	kind := call.kind()
+	r.calls[kind]++
+	if kind == KindHosts {
+		r.answer(request, OK, r.hosts.published)
+		return
+	}
+	switch r.faults.Outage {
+	case OutageRefuse:
+		r.refused++
+		r.answer(request, Unavailable, nil)
+		return
+	case OutageHang:
+		return
+	}
+	limit := &r.reads
+	if kind.write() {
+		limit = &r.writing
+	}
+	if !limit.take(r.now) {
+		r.limited++
+		r.answer(request, RateLimited, nil)
+		return
+	}
+	if kind.write() {
+		r.write(request, call)
+		return
+	}
+	r.read(request, call)
+}
+
+func (r *Reducer) read(request RequestID, call Call) {
+	switch c := call.(type) {
+	case Get:
+		item, ok := r.keys.get(c.Key, r.readTime())
+		if !ok {
+			r.answer(request, NotFound, nil)
+			return
+		}
+		r.answer(request, OK, item)
+	case List:
+		at := r.readTime()
+		items := r.keys.list(c.Prefix, 0, at)
+		revision := r.revision
+		if at < r.now {
+			revision = greatest(items)
+		}
+		r.answer(request, OK, wire.ItemList{Items: items, Revision: revision})
+	case Watch:
+		items := r.keys.list(c.Prefix, c.Since, r.now)
+		if len(items) > 0 || c.Wait <= 0 {
+			r.answer(request, OK, wire.ItemList{Items: items, Revision: r.revision})
+			return
+		}
+		r.watches = append(r.watches, watch{request: request, call: c, until: r.now.Add(c.Wait)})
+	}
+}
+
+// greatest returns the greatest revision of items.
+func greatest(items []wire.Item) int64 {
+	var revision int64
+	for _, item := range items {
+		revision = max(revision, item.Revision)
+	}
+	return revision
+}
+
+// readTime is the time whose data gets and lists see.
+func (r *Reducer) readTime() core.Time {
+	if r.faults.StaleMS == 0 {
+		return r.now
+	}
+	return max(r.staleSince, r.now.Add(-time.Duration(r.faults.StaleMS)*time.Millisecond))
+}
+
+func (r *Reducer) write(request RequestID, call Call) {
+	status, body := r.apply(call)
+	lost := false
+	if status == OK {
+		r.writes++
+		switch {
+		case r.faults.LoseNext > 0:
+			r.faults.LoseNext--
+			lost = true
+		case r.faults.LoseEvery > 0:
+			lost = r.writes%r.faults.LoseEvery == 0
+		}
+	}
+	if lost {
+		r.lost++
+	}
+	r.emit(Answer{Request: request, Status: status, Body: body, Delay: r.delay(), Lost: lost})
+}
+
+// apply carries out a write.
+func (r *Reducer) apply(call Call) (Status, any) {
+	switch c := call.(type) {
+	case Put:
+		return r.put(c)
+	case Delete:
+		for _, key := range c.Keys {
+			r.remove(key)
+		}
+		return OK, nil
+	case Grant:
+		r.leaseSeq++
+		l := &lease{id: "lease-" + strconv.FormatUint(r.leaseSeq, 10), timeToLive: c.TimeToLive}
+		l.expires = r.now.Add(l.timeToLive)
+		r.leases[l.id] = l
+		return OK, l.response()
+	case Renew:
+		l := r.leases[c.Lease]
+		if l == nil {
+			return NotFound, nil
+		}
+		l.expires = r.now.Add(l.timeToLive)
+		return OK, l.response()
+	case Revoke:
+		if r.leases[c.Lease] == nil {
+			return NotFound, nil
+		}
+		r.endLease(c.Lease)
+	}
+	return OK, nil
+}
+
+func (l *lease) response() wire.LeaseResponse {
+	return wire.LeaseResponse{ID: l.id, TimeToLiveMS: l.timeToLive.Milliseconds()}
+}
+
+func (r *Reducer) put(c Put) (Status, any) {
+	if len(c.Value) > wire.MaxValueBytes {
+		return TooLarge, nil
+	}
+	if c.Lease != "" && r.leases[c.Lease] == nil {
+		return NotFound, nil
+	}
+	var inForce wire.Item
+	if e := r.keys.find(c.Key); e != nil {
+		inForce = wire.Item{Key: c.Key, Value: e.newest().value, Revision: e.newest().revision}
+	}
+	if inForce.Revision != c.IfRevision {
+		return Conflict, inForce
+	}
+	r.revision++
+	v := version{at: r.now, value: c.Value, revision: r.revision}
+	r.keys.set(c.Key, c.Lease, v, r.readTime())
+	r.notify(c.Key)
+	return OK, wire.PutResponse{Revision: r.revision}
+}
+
+// remove deletes a key, if it exists.
+func (r *Reducer) remove(key string) {
+	if r.keys.find(key) == nil {
+		return
+	}
+	r.revision++
+	r.keys.set(key, "", version{at: r.now, revision: r.revision, deleted: true}, r.readTime())
+}
+
+// endLease forgets a lease and deletes its keys.
+func (r *Reducer) endLease(id string) {
+	delete(r.leases, id)
+	var owned []string
+	r.keys.tree.Ascend(func(e *entry) bool {
+		if e.lease == id {
+			owned = append(owned, e.key)
+		}
+		return true
+	})
+	for _, key := range owned {
+		r.remove(key)
+	}
+}
+
+// notify answers the watches that wait for a key.
+func (r *Reducer) notify(key string) {
+	r.watches = slices.DeleteFunc(r.watches, func(w watch) bool {
+		if !strings.HasPrefix(key, w.call.Prefix) {
+			return false
+		}
+		items := r.keys.list(w.call.Prefix, w.call.Since, r.now)
+		r.answer(w.request, OK, wire.ItemList{Items: items, Revision: r.revision})
+		return true
+	})
+}
+
+func (r *Reducer) answer(request RequestID, status Status, body any) {
+	r.emit(Answer{Request: request, Status: status, Body: body, Delay: r.delay()})
+}
+
+func (r *Reducer) delay() time.Duration {
+	return time.Duration(r.faults.DelayMS) * time.Millisecond
+}
--- /dev/null
+++ b/standin/worker/advance.go
@@ -0,0 +1,80 @@
+package worker
+
+import (
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// due is the next moment at which something happens to t, and what.
+func (r *Reducer) due(t *run) (core.Time, func()) {
+	at, act := t.ends(r.slowness()), func() { r.complete(t) }
+	if t.call != nil {
+		return at, act
+	}
+	if t.leaseUntil < at {
+		at, act = t.leaseUntil, func() { r.finish(t, core.ReportedStopped, OutcomeLapsed) }
+	}
+	if shown := t.started.Add(r.cfg.UsageLag); !t.useShown && shown < at {
+		at, act = shown, func() { t.useShown = true; r.touch(t) }
+	}
+	return at, act
+}
+
+// next returns the run with the earliest due moment.
+func (r *Reducer) next() (at core.Time, act func()) {
+	for _, t := range r.running {
+		if due, f := r.due(t); act == nil || due < at {
+			at, act = due, f
+		}
+	}
+	return at, act
+}
+
+// advance carries out everything that is due until now, in the order of time, so
+// that the account does not depend on when events arrive.
+func (r *Reducer) advance(now core.Time) {
+	for {
+		at, act := r.next()
+		if act == nil || at > now {
+			break
+		}
+		r.now = max(r.now, at)
+		act()
+	}
+	r.now = now
+}
+
+// complete ends a run that has done its work.
+func (r *Reducer) complete(t *run) {
+	state, outcome := core.ReportedSucceeded, OutcomeSucceeded
+	if t.program.Fail {
+		state, outcome = core.ReportedFailed, OutcomeFailed
+	}
+	t.useShown = true
+	r.finish(t, state, outcome)
+	if t.call != nil {
+		r.answer(t.call.Request, CallResult{
+			RequestID: t.call.RequestID, Attempt: t.call.Attempt, Failed: t.program.Fail,
+			Result: t.program.Result, PadBytes: t.program.PadBytes,
+		})
+	}
+}
+
+// scheduleWake asks for the next due moment, unless an earlier one was asked for
+// already.
+func (r *Reducer) scheduleWake() {
+	at, act := r.next()
+	found := act != nil
+	for _, w := range r.waiting {
+		if !found || w.until < at {
+			at, found = w.until, true
+		}
+	}
+	// A due moment in the same nanosecond would ask for a wake in the past.
+	at = max(at, r.now.Add(time.Nanosecond))
+	if found && (r.wake <= r.now || at < r.wake) {
+		r.wake = at
+		r.out = append(r.out, WakeAt{At: at})
+	}
+}
--- /dev/null
+++ b/standin/worker/reducer.go
@@ -0,0 +1,272 @@
+package worker
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Config describes a worker.
+type Config struct {
+	ID       string
+	Capacity core.Resources
+	// UsageLag is the age at which a task's use first appears in reports.
+	UsageLag time.Duration
+	// Retain is how long an ended task stays in the ledger that syncs show.
+	Retain time.Duration
+	// Incarnation is the first incarnation.
+	Incarnation uint64
+}
+
+// Reducer is the state of one worker.
+type Reducer struct {
+	cfg    Config
+	faults Faults
+	now    core.Time
+	wake   core.Time
+	out    []Effect
+
+	// The state of the present incarnation.
+	incarnation uint64
+	dead        bool
+	epoch       core.Epoch
+	// synced is the epoch of the latest sync.
+	synced   core.Epoch
+	sequence uint64
+	tasks    map[wire.TaskRef]*run
+	running  []*run
+	inUse    core.Resources
+	waiting  []waiter
+
+	// leavingSince is when the platform's list showed the worker as leaving.
+	leavingSince core.Time
+	// The account survives restarts.
+	entries  []*Entry
+	refusals map[string]int
+}
+
+// waiter is a sync that waits for news.
+type waiter struct {
+	request RequestID
+	sync    wire.SyncRequest
+	until   core.Time
+}
+
+// New returns a worker that runs nothing.
+func New(cfg Config) *Reducer {
+	return &Reducer{
+		cfg: cfg, incarnation: cfg.Incarnation,
+		tasks: map[wire.TaskRef]*run{}, refusals: map[string]int{},
+	}
+}
+
+// Step applies one event.
+func (r *Reducer) Step(e Event) []Effect {
+	r.out = nil
+	r.advance(max(r.now, e.At))
+	switch b := e.Body.(type) {
+	case Abandoned:
+		r.waiting = slices.DeleteFunc(r.waiting, func(w waiter) bool { return w.request == b.Request })
+	case FaultsSet:
+		r.setFaults(b.Faults)
+	case ShownLeaving:
+		if r.leavingSince == 0 {
+			r.leavingSince = r.now
+			r.sequence++
+		}
+	case Killed:
+		r.end()
+		r.dead = true
+	case Restarted:
+		r.end()
+		r.dead = false
+		r.incarnation = b.Incarnation
+	case ReportAsked:
+		r.out = append(r.out, Answer{Request: b.Request, Body: r.report()})
+	default:
+		if !r.dead && !r.faults.Silent {
+			r.request(e.Body)
+		}
+	}
+	r.wakeSyncs()
+	r.scheduleWake()
+	return r.out
+}
+
+// request carries out a message of the worker protocol.
+func (r *Reducer) request(body EventBody) {
+	switch b := body.(type) {
+	case SyncAsked:
+		r.sync(b)
+	case StartAsked:
+		r.start(b)
+	case SignalAsked:
+		r.signal(b)
+	case CallAsked:
+		r.call(b)
+	}
+}
+
+// admit refuses an epoch below the highest one seen. A higher one fences the
+// owners before it.
+func (r *Reducer) admit(request RequestID, epoch core.Epoch) bool {
+	if epoch < r.epoch {
+		r.refuse(request, core.ReasonStaleEpoch, "epoch %d is below %d", epoch, r.epoch)
+		return false
+	}
+	if epoch > r.epoch {
+		r.epoch = epoch
+		fenced := r.waiting
+		r.waiting = nil
+		for _, w := range fenced {
+			r.refuse(w.request, core.ReasonStaleEpoch, "epoch %d is below %d", w.sync.Epoch, epoch)
+		}
+	}
+	return true
+}
+
+func (r *Reducer) refuse(request RequestID, reason core.Reason, format string, args ...any) {
+	r.refusals[string(reason)]++
+	r.answer(request, wire.WorkerRefusal{
+		Reason: reason, HighestEpoch: r.epoch, Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// answer emits an answer unless the worker gives none.
+func (r *Reducer) answer(request RequestID, body any) {
+	if r.faults.Silent || r.faults.Mute {
+		return
+	}
+	a := Answer{Request: request, Body: body, Delay: time.Duration(r.faults.DelayMS) * time.Millisecond}
+	if result, ok := body.(CallResult); ok {
+		switch {
+		case r.faults.TruncateNext > 0:
+			r.faults.TruncateNext--
+			a.Truncate = true
+		case r.faults.MisdirectNext > 0:
+			r.faults.MisdirectNext--
+			result.RequestID += "-other"
+			a.Body = result
+		}
+	}
+	r.out = append(r.out, a)
+}
+
+func (r *Reducer) sync(b SyncAsked) {
+	if !r.admit(b.Request, b.Sync.Epoch) {
+		return
+	}
+	for _, t := range r.running {
+		if t.call == nil {
+			t.leaseUntil = r.now.Add(time.Duration(b.Sync.LeaseMS) * time.Millisecond)
+		}
+	}
+	maps.DeleteFunc(r.tasks, func(_ wire.TaskRef, t *run) bool {
+		return t.state != core.ReportedRunning && t.ended.Add(r.cfg.Retain) < r.now
+	})
+	if b.Sync.Epoch != r.synced {
+		r.synced = b.Sync.Epoch
+		b.Sync.Since = 0
+	}
+	r.waiting = append(r.waiting, waiter{
+		request: b.Request, sync: b.Sync,
+		until: r.now.Add(time.Duration(b.Sync.WaitMS) * time.Millisecond),
+	})
+}
+
+// wakeSyncs answers the syncs that have news or have waited long enough.
+func (r *Reducer) wakeSyncs() {
+	r.waiting = slices.DeleteFunc(r.waiting, func(w waiter) bool {
+		since := w.sync.Since
+		full := since == 0 || since > r.sequence
+		if !full && since == r.sequence && w.until > r.now {
+			return false
+		}
+		r.answer(w.request, r.syncResponse(w.sync.Epoch, since, full))
+		return true
+	})
+}
+
+func (r *Reducer) syncResponse(epoch core.Epoch, since uint64, full bool) wire.SyncResponse {
+	response := wire.SyncResponse{
+		Epoch: epoch, Incarnation: r.incarnation, Sequence: r.sequence, Full: full,
+		Leaving: r.leavingSince != 0, CallsInProgress: r.callCounts(),
+	}
+	var changed []*run
+	for _, t := range r.tasks {
+		if full || t.sequence > since {
+			changed = append(changed, t)
+		}
+	}
+	slices.SortFunc(changed, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.sequence, b.sequence), cmp.Compare(a.ref.Job, b.ref.Job),
+			cmp.Compare(a.ref.Task, b.ref.Task), cmp.Compare(a.ref.Attempt, b.ref.Attempt))
+	})
+	for _, t := range changed {
+		response.Tasks = append(response.Tasks, r.taskReport(t))
+	}
+	return response
+}
+
+// callCounts counts the calls in progress by team and kind.
+func (r *Reducer) callCounts() []wire.CallCount {
+	var counts []wire.CallCount
+	for _, t := range r.running {
+		if t.call == nil {
+			continue
+		}
+		i := slices.IndexFunc(counts, func(c wire.CallCount) bool {
+			return c.Team == t.entry.Team && c.Kind == t.entry.Kind
+		})
+		if i < 0 {
+			counts = append(counts, wire.CallCount{Team: t.entry.Team, Kind: t.entry.Kind, Count: 1})
+			continue
+		}
+		counts[i].Count++
+	}
+	return counts
+}
+
+// end ends the incarnation and everything in it.
+func (r *Reducer) end() {
+	for _, t := range slices.Clone(r.running) {
+		r.finish(t, core.ReportedStopped, OutcomeLost)
+	}
+	r.tasks = map[wire.TaskRef]*run{}
+	r.waiting = nil
+	r.epoch, r.synced, r.sequence = 0, 0, 0
+	if r.leavingSince != 0 {
+		r.sequence = 1
+	}
+}
+
+// setFaults replaces the switches. Requests that wait at a worker that turns
+// silent are never answered.
+func (r *Reducer) setFaults(f Faults) {
+	for _, t := range r.running {
+		t.settle(r.now, r.slowness())
+	}
+	r.faults = f
+	if f.Silent || f.Mute {
+		r.waiting = nil
+	}
+}
+
+func (r *Reducer) slowness() float64 { return max(1, r.faults.SlowFactor) }
+
+func (r *Reducer) report() Report {
+	report := Report{
+		Worker: r.cfg.ID, Incarnation: r.incarnation, Epoch: r.epoch, Dead: r.dead,
+		Faults: r.faults, InUse: wire.FromResources(r.inUse),
+		Entries: make([]Entry, 0, len(r.entries)), Refusals: maps.Clone(r.refusals),
+	}
+	for _, e := range r.entries {
+		report.Entries = append(report.Entries, *e)
+	}
+	return report
+}
--- /dev/null
+++ b/standin/worker/summary.go
@@ -0,0 +1,105 @@
+package worker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// leavingGrace is how long after the list shows a worker as leaving a start is
+// still allowed (P6 of the design).
+const leavingGrace = 3 * time.Second
+
+// Summary judges the accounts of all workers.
+type Summary struct {
+	Starts int             `json:"starts"`
+	Ends   map[Outcome]int `json:"ends"`
+	// Doubled lists what ran in two places at one moment.
+	Doubled []Repeat `json:"doubled"`
+	// Repeated lists what was started more than once. The caller knows which
+	// kinds are idempotent.
+	Repeated []Repeat `json:"repeated"`
+	// OverAssigned counts the starts that exceeded a worker's capacity.
+	OverAssigned int `json:"over_assigned"`
+	// StartsAfterLeaving counts the starts later than 3 s after the list
+	// showed the worker as leaving.
+	StartsAfterLeaving int `json:"starts_after_leaving"`
+}
+
+// Repeat names a task or call that was started more than once.
+type Repeat struct {
+	Entry  EntryKind     `json:"entry"`
+	Job    string        `json:"job"`
+	Task   int           `json:"task"`
+	Team   core.TeamName `json:"team"`
+	Kind   core.KindName `json:"kind"`
+	Starts int           `json:"starts"`
+}
+
+// work identifies what may run once only.
+type work struct {
+	entry EntryKind
+	team  core.TeamName
+	kind  core.KindName
+	job   string
+	task  int
+}
+
+// Summarize judges the reports of all workers.
+func Summarize(reports []Report) Summary {
+	s := Summary{Ends: map[Outcome]int{}, Doubled: []Repeat{}, Repeated: []Repeat{}}
+	starts := map[work][]Entry{}
+	for _, report := range reports {
+		for _, e := range report.Entries {
+			s.Starts++
+			if e.Outcome != OutcomeRunning {
+				s.Ends[e.Outcome]++
+			}
+			if e.OverAssigned {
+				s.OverAssigned++
+			}
+			if e.LeavingMS > leavingGrace.Milliseconds() {
+				s.StartsAfterLeaving++
+			}
+			id := work{e.Entry, e.Team, e.Kind, e.Job, e.Task}
+			starts[id] = append(starts[id], e)
+		}
+	}
+	for id, entries := range starts {
+		if len(entries) < 2 {
+			continue
+		}
+		repeat := Repeat{id.entry, id.job, id.task, id.team, id.kind, len(entries)}
+		s.Repeated = append(s.Repeated, repeat)
+		if overlap(entries) {
+			s.Doubled = append(s.Doubled, repeat)
+		}
+	}
+	slices.SortFunc(s.Repeated, compareRepeats)
+	slices.SortFunc(s.Doubled, compareRepeats)
+	return s
+}
+
+// overlap reports whether two of the entries ran at one moment.
+func overlap(entries []Entry) bool {
+	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.StartUnixUS, b.StartUnixUS) })
+	var busyUntil int64
+	for i, e := range entries {
+		if i > 0 && (busyUntil == 0 || e.StartUnixUS < busyUntil) {
+			return true
+		}
+		if e.EndUnixUS == 0 {
+			busyUntil = 0
+			continue
+		}
+		busyUntil = max(busyUntil, e.EndUnixUS)
+	}
+	return false
+}
+
+func compareRepeats(a, b Repeat) int {
+	return cmp.Or(cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Job, b.Job),
+		cmp.Compare(a.Task, b.Task), cmp.Compare(a.Team, b.Team), cmp.Compare(a.Kind, b.Kind))
+}
