Add the stand-in's HTTP front ends, administration and program

Cause: the reducers need traffic goroutines, ports and fault switches before the scheduler can be run against them. Change: package standin runs one loop for the platform and one for each worker, each worker on a port of its own; cmd/banyanrun-standin reads its settings from flags and the environment and checks them at start.

--- /dev/null
+++ b/cmd/banyanrun-standin/main.go
@@ -0,0 +1,49 @@
+// Command banyanrun-standin runs a stand-in for the platform and the workers.
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"banyanrun.example/banyanrun/standin"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+)
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	var s settings
+	if _, err := flags.Parse(&s); err != nil {
+		var flagError *flags.Error
+		if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2) // go-flags has printed the error
+	}
+	cfg, err := s.config()
+	if err != nil {
+		log.Fatal().Err(err).Msg("invalid setting")
+	}
+	level, err := s.level()
+	if err != nil {
+		log.Fatal().Err(err).Msg("invalid setting")
+	}
+	log = log.Level(level)
+	// Signals are caught before the ports open, so that none is missed.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	server, err := standin.Start(cfg)
+	if err != nil {
+		log.Fatal().Err(err).Msg("start failed")
+	}
+	log.Info().Str("store", server.StoreAddress()).Int("workers", len(server.Workers())).Msg("stand-in ready")
+	for _, w := range server.Workers() {
+		log.Debug().Str("worker", w.ID).Str("address", w.Address).Str("data_centre", w.DataCentre).Msg("worker ready")
+	}
+	received := <-stop
+	server.Close()
+	log.Info().Str("signal", received.String()).Msg("stand-in stopped")
+}
--- /dev/null
+++ b/standin/admin.go
@@ -0,0 +1,239 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Paths of the administration.
+const (
+	// PathAdminStore takes store.Faults by POST and gives store.Report.
+	PathAdminStore = "/admin/v1/store"
+	// PathAdminHosts takes wire.ListedHost by POST, and HostAction by POST
+	// below it.
+	PathAdminHosts = "/admin/v1/hosts"
+	// PathAdminWorkers gives all WorkerStatus, and takes WorkerAction by POST
+	// below it.
+	PathAdminWorkers = "/admin/v1/workers"
+	// PathAdminLedger gives a Ledger; with ?summary=1 without entries.
+	PathAdminLedger = "/admin/v1/ledger"
+)
+
+// maxAdminBody bounds a request of the administration.
+const maxAdminBody = 1 << 20
+
+// Action is an act on a worker or an entry host.
+type Action string
+
+// The actions. Entry hosts know ActionLeave and ActionGone only.
+const (
+	// ActionFaults replaces the worker's fault switches.
+	ActionFaults Action = "faults"
+	// ActionRestart begins a new incarnation, also after ActionKill.
+	ActionRestart Action = "restart"
+	// ActionKill ends the worker and closes its port.
+	ActionKill Action = "kill"
+	// ActionLeave marks as leaving in the host list.
+	ActionLeave Action = "leave"
+	// ActionGone removes from the host list.
+	ActionGone Action = "gone"
+	// ActionJoin lists a worker as live again.
+	ActionJoin Action = "join"
+)
+
+// WorkerAction is the body of an act on a worker.
+type WorkerAction struct {
+	Action Action        `json:"action"`
+	Faults worker.Faults `json:"faults"`
+}
+
+// HostAction is the body of an act on an entry host.
+type HostAction struct {
+	Action Action `json:"action"`
+}
+
+// WorkerStatus is a worker with its traffic.
+type WorkerStatus struct {
+	wire.ListedWorker
+	Connections     int `json:"connections"`
+	PeakConnections int `json:"peak_connections"`
+}
+
+// Ledger is the account of all workers.
+type Ledger struct {
+	Summary worker.Summary  `json:"summary"`
+	Workers []worker.Report `json:"workers,omitempty"`
+}
+
+// SetStoreFaults replaces the store's fault switches.
+func (s *Server) SetStoreFaults(ctx context.Context, f store.Faults) error {
+	switch f.Outage {
+	case store.OutageNone, store.OutageRefuse, store.OutageHang:
+	default:
+		return fmt.Errorf("outage is %q; allowed: %q, %q, %q", f.Outage, store.OutageNone, store.OutageRefuse, store.OutageHang)
+	}
+	return closedUnless(s.platform.post(ctx, store.FaultsSet{Faults: f}))
+}
+
+// StoreReport returns the store's counts.
+func (s *Server) StoreReport(ctx context.Context) (store.Report, error) {
+	report, ok := s.platform.report(ctx)
+	return report, closedUnless(ok)
+}
+
+// ListHost adds or changes an entry host of the host list.
+func (s *Server) ListHost(ctx context.Context, h wire.ListedHost) error {
+	if h.ID == "" || h.Address == "" || h.DataCentre == "" {
+		return fmt.Errorf("entry host %+v: id, address and data_centre are required", h)
+	}
+	return closedUnless(s.platform.post(ctx, store.HostListed{Host: h}))
+}
+
+// ActOnHost marks an entry host as leaving or gone.
+func (s *Server) ActOnHost(ctx context.Context, id string, a Action) error {
+	if a != ActionLeave && a != ActionGone {
+		return fmt.Errorf("action is %q; allowed for an entry host: %q, %q", a, ActionLeave, ActionGone)
+	}
+	return closedUnless(s.platform.post(ctx, store.HostLeft{ID: id, Gone: a == ActionGone}))
+}
+
+// ActOnWorker carries out an action on a worker.
+func (s *Server) ActOnWorker(ctx context.Context, id string, a WorkerAction) error {
+	n := s.byID[id]
+	if n == nil {
+		return fmt.Errorf("worker %q does not exist", id)
+	}
+	switch a.Action {
+	case ActionFaults:
+		return closedUnless(n.post(ctx, worker.FaultsSet{Faults: a.Faults}))
+	case ActionRestart:
+		return s.restart(ctx, n)
+	case ActionKill:
+		n.stop()
+		return closedUnless(n.post(ctx, worker.Killed{}))
+	case ActionLeave, ActionGone:
+		return closedUnless(s.platform.post(ctx, store.WorkerLeft{ID: id, Gone: a.Action == ActionGone}))
+	case ActionJoin:
+		return closedUnless(s.platform.post(ctx, store.WorkerListed{Worker: n.listed}))
+	}
+	return fmt.Errorf("action is %q; allowed: %q", a.Action,
+		[]Action{ActionFaults, ActionRestart, ActionKill, ActionLeave, ActionGone, ActionJoin})
+}
+
+// restart begins a new incarnation of a worker at its address.
+func (s *Server) restart(ctx context.Context, n *workerNode) error {
+	n.stop()
+	if !n.post(ctx, worker.Restarted{Incarnation: incarnation(n.clock)}) {
+		return errClosed
+	}
+	l, err := net.Listen("tcp", n.listed.Address)
+	if err != nil {
+		return fmt.Errorf("listen again for worker %q: %w", n.listed.ID, err)
+	}
+	s.serve(n.newServer(), l)
+	return nil
+}
+
+// Ledger returns the account of all workers.
+func (s *Server) Ledger(ctx context.Context) (Ledger, error) {
+	var ledger Ledger
+	for _, n := range s.workers {
+		_, a, ok := n.ask(ctx, func(id uint64, at core.Time) worker.Event {
+			return worker.Event{At: at, Body: worker.ReportAsked{Request: worker.RequestID(id)}}
+		})
+		if !ok {
+			return ledger, errClosed
+		}
+		ledger.Workers = append(ledger.Workers, a.Body.(worker.Report))
+	}
+	ledger.Summary = worker.Summarize(ledger.Workers)
+	return ledger, nil
+}
+
+// WorkerStatuses returns the workers with their traffic.
+func (s *Server) WorkerStatuses() []WorkerStatus {
+	var list []WorkerStatus
+	for _, n := range s.workers {
+		n.serverMu.Lock()
+		list = append(list, WorkerStatus{n.listed, n.connections, n.peak})
+		n.serverMu.Unlock()
+	}
+	return list
+}
+
+// adminRoutes adds the administration.
+func (s *Server) adminRoutes(router *httprouter.Router) {
+	router.GET(PathAdminStore, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		report, err := s.StoreReport(r.Context())
+		reply(w, report, err)
+	})
+	router.POST(PathAdminStore, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var f store.Faults
+		if decode(w, r, &f) {
+			reply(w, f, s.SetStoreFaults(r.Context(), f))
+		}
+	})
+	router.POST(PathAdminHosts, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var h wire.ListedHost
+		if decode(w, r, &h) {
+			reply(w, h, s.ListHost(r.Context(), h))
+		}
+	})
+	router.POST(PathAdminHosts+"/:id", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		var a HostAction
+		if decode(w, r, &a) {
+			reply(w, a, s.ActOnHost(r.Context(), ps.ByName("id"), a.Action))
+		}
+	})
+	router.GET(PathAdminWorkers, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		reply(w, s.WorkerStatuses(), nil)
+	})
+	router.POST(PathAdminWorkers+"/:id", func(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+		var a WorkerAction
+		if decode(w, r, &a) {
+			reply(w, a, s.ActOnWorker(r.Context(), ps.ByName("id"), a))
+		}
+	})
+	router.GET(PathAdminLedger, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		ledger, err := s.Ledger(r.Context())
+		if r.URL.Query().Get("summary") == "1" {
+			ledger.Workers = nil
+		}
+		reply(w, ledger, err)
+	})
+}
+
+// decode reads a JSON body strictly, so that a misspelt switch is an error.
+func decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	var body bytes.Buffer
+	_, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxAdminBody))
+	if err == nil {
+		decoder := json.NewDecoder(&body)
+		decoder.DisallowUnknownFields()
+		err = decoder.Decode(into)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+// reply writes body, or the error as a bad request.
+func reply(w http.ResponseWriter, body any, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, http.StatusOK, body)
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,185 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"banyanrun.example/banyanrun/control"
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/wire"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// maxStoreBody admits a value of the largest size in base64, with some room for
+// the rest of the message; larger values are refused by the reducer.
+const maxStoreBody = 2 * wire.MaxValueBytes
+
+// platform serves the store and the host list.
+type platform struct {
+	node[store.Event, store.Effect, store.Answer]
+	// shown passes on how the host list shows a worker.
+	shown func(context.Context, store.WorkerShown)
+}
+
+func newPlatform(c clock, r *store.Reducer, shown func(context.Context, store.WorkerShown)) *platform {
+	p := &platform{shown: shown}
+	elapsed := func(at core.Time) store.Event { return store.Event{At: at, Body: store.Elapsed{}} }
+	p.init(c, control.New(control.Config[store.Event, store.Effect]{
+		Step: r.Step, Execute: p.execute, Immediate: p.immediate,
+		Tick:   func() store.Event { return elapsed(c.now()) },
+		Period: tickPeriod, Mailbox: mailboxSize,
+	}), elapsed)
+	return p
+}
+
+func (p *platform) immediate(f store.Effect) bool {
+	switch f := f.(type) {
+	case store.Answer:
+		p.deliver(uint64(f.Request), f)
+		return true
+	case store.WakeAt:
+		p.wakeAt(f.At)
+		return true
+	}
+	return false
+}
+
+func (p *platform) execute(ctx context.Context, f store.Effect) {
+	if shown, ok := f.(store.WorkerShown); ok {
+		p.shown(ctx, shown)
+	}
+}
+
+// post hands an event that has no answer to the reducer.
+func (p *platform) post(ctx context.Context, body store.EventBody) bool {
+	return p.loop.Post(ctx, store.Event{At: p.clock.now(), Body: body})
+}
+
+// report asks for the counts.
+func (p *platform) report(ctx context.Context) (store.Report, bool) {
+	_, a, ok := p.ask(ctx, func(id uint64, at core.Time) store.Event {
+		return store.Event{At: at, Body: store.StatusAsked{Request: store.RequestID(id)}}
+	})
+	if !ok {
+		return store.Report{}, false
+	}
+	return a.Body.(store.Report), true
+}
+
+// routes adds the store's protocol.
+func (p *platform) routes(router *httprouter.Router) {
+	handle := func(method, path string, decode func(*http.Request, httprouter.Params) (store.Call, error)) {
+		router.Handle(method, path, func(w http.ResponseWriter, req *http.Request, ps httprouter.Params) {
+			req.Body = http.MaxBytesReader(w, req.Body, maxStoreBody)
+			call, err := decode(req, ps)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			p.serve(w, req, call)
+		})
+	}
+	handle(http.MethodGet, wire.PathKV, func(r *http.Request, _ httprouter.Params) (store.Call, error) {
+		return store.List{Prefix: r.URL.Query().Get("prefix")}, nil
+	})
+	handle(http.MethodGet, wire.PathKV+"/*key", func(_ *http.Request, ps httprouter.Params) (store.Call, error) {
+		return store.Get{Key: keyOf(ps)}, nil
+	})
+	handle(http.MethodPut, wire.PathKV+"/*key", decodePut)
+	handle(http.MethodDelete, wire.PathKV+"/*key", func(_ *http.Request, ps httprouter.Params) (store.Call, error) {
+		return store.Delete{Keys: []string{keyOf(ps)}}, nil
+	})
+	handle(http.MethodPost, wire.PathKVDelete, func(r *http.Request, _ httprouter.Params) (store.Call, error) {
+		var body wire.DeleteRequest
+		err := json.NewDecoder(r.Body).Decode(&body)
+		return store.Delete{Keys: body.Keys}, err
+	})
+	handle(http.MethodPost, wire.PathLeases, func(r *http.Request, _ httprouter.Params) (store.Call, error) {
+		var body wire.LeaseRequest
+		err := json.NewDecoder(r.Body).Decode(&body)
+		return store.Grant{TimeToLive: time.Duration(body.TimeToLiveMS) * time.Millisecond}, err
+	})
+	handle(http.MethodPut, wire.PathLeases+"/:id", func(_ *http.Request, ps httprouter.Params) (store.Call, error) {
+		return store.Renew{Lease: ps.ByName("id")}, nil
+	})
+	handle(http.MethodDelete, wire.PathLeases+"/:id", func(_ *http.Request, ps httprouter.Params) (store.Call, error) {
+		return store.Revoke{Lease: ps.ByName("id")}, nil
+	})
+	handle(http.MethodGet, wire.PathWatch, decodeWatch)
+	handle(http.MethodGet, wire.PathHosts, func(*http.Request, httprouter.Params) (store.Call, error) {
+		return store.Hosts{}, nil
+	})
+}
+
+// keyOf strips the slash that begins a catch-all parameter.
+func keyOf(ps httprouter.Params) string { return ps.ByName("key")[1:] }
+
+func decodePut(r *http.Request, ps httprouter.Params) (store.Call, error) {
+	var body wire.PutRequest
+	err := json.NewDecoder(r.Body).Decode(&body)
+	return store.Put{Key: keyOf(ps), Value: body.Value, IfRevision: body.IfRevision, Lease: body.Lease}, err
+}
+
+func decodeWatch(r *http.Request, _ httprouter.Params) (store.Call, error) {
+	q := r.URL.Query()
+	since, err := strconv.ParseInt(q.Get("since"), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	wait, err := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
+	return store.Watch{Prefix: q.Get("prefix"), Since: since, Wait: time.Duration(wait) * time.Millisecond}, err
+}
+
+// serve passes a call to the reducer and writes its answer.
+func (p *platform) serve(w http.ResponseWriter, r *http.Request, call store.Call) {
+	id, a, ok := p.ask(r.Context(), func(id uint64, at core.Time) store.Event {
+		return store.Event{At: at, Body: store.Asked{Request: store.RequestID(id), Call: call}}
+	})
+	if !ok {
+		p.abandon(store.RequestID(id))
+		return
+	}
+	pause(r.Context(), a.Delay)
+	if a.Lost {
+		panic(http.ErrAbortHandler)
+	}
+	if a.Status == store.OK && a.Body == nil {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	writeJSON(w, storeStatus[a.Status], a.Body)
+}
+
+// abandon tells the reducer that a caller no longer waits. The caller's context
+// has ended, so it is not used.
+func (p *platform) abandon(id store.RequestID) {
+	p.post(context.Background(), store.Abandoned{Request: id})
+}
+
+var storeStatus = map[store.Status]int{
+	store.OK:          http.StatusOK,
+	store.NotFound:    http.StatusNotFound,
+	store.Conflict:    http.StatusConflict,
+	store.TooLarge:    http.StatusRequestEntityTooLarge,
+	store.RateLimited: http.StatusTooManyRequests,
+	store.Unavailable: http.StatusServiceUnavailable,
+}
+
+// writeJSON writes a whole answer with its length.
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	// An error means that the caller is gone.
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,180 @@
+// Package standin is a small stand-in for the platform and the workers, with
+// fault switches and an account of everything the workers started.
+//
+// Its decisions are reducers (packages store and worker below it) that are run by
+// control.Loop, one loop for the platform and one for each worker. This package
+// adds the HTTP front ends and the administration.
+package standin
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
+
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
+)
+
+// Config describes a stand-in. The zero value of every field but Topology is
+// usable.
+type Config struct {
+	Topology Topology
+	// Hosts are the entry hosts that the list shows at first.
+	Hosts []wire.ListedHost
+	// StoreAddress is where the platform listens; empty picks a loopback port.
+	StoreAddress string
+	// WorkerIP is where the workers listen; empty means 127.0.0.1.
+	WorkerIP string
+	// WorkerBasePort is the port of the first worker; zero picks free ports.
+	WorkerBasePort int
+	Limits         store.Limits
+	// Faults are the store's first fault switches.
+	Faults store.Faults
+	// UsageLag is the age at which a task's use first appears in reports.
+	UsageLag time.Duration
+	// Retain is how long syncs show an ended task; zero means DefaultRetain.
+	Retain time.Duration
+	// DefaultRun is the run time without a payload; zero means DefaultRunTime.
+	DefaultRun time.Duration
+}
+
+const (
+	// DefaultRetain outlasts an hour's loss of contact with a data centre.
+	DefaultRetain = 2 * time.Hour
+	// DefaultRunTime is the run time of a task or call without a payload.
+	DefaultRunTime = 100 * time.Millisecond
+)
+
+// Server is a running stand-in.
+type Server struct {
+	clock    clock
+	cancel   context.CancelFunc
+	tasks    conc.WaitGroup
+	platform *platform
+	front    *http.Server
+	address  string
+	workers  []*workerNode
+	byID     map[string]*workerNode
+}
+
+// Start starts a stand-in.
+func Start(cfg Config) (*Server, error) {
+	list, err := cfg.Topology.workers()
+	if err != nil {
+		return nil, err
+	}
+	cfg.Retain = cmp.Or(cfg.Retain, DefaultRetain)
+	cfg.DefaultRun = cmp.Or(cfg.DefaultRun, DefaultRunTime)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Server{clock: clock{time.Now()}, cancel: cancel, byID: map[string]*workerNode{}}
+	listeners, err := listen(cfg, list)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	s.address = listeners[0].Addr().String()
+	for i, l := range listeners[1:] {
+		list[i].Address = l.Addr().String()
+		n := newWorkerNode(s.clock, list[i], cfg)
+		s.workers = append(s.workers, n)
+		s.byID[n.listed.ID] = n
+		s.tasks.Go(func() { n.run(ctx) })
+		s.serve(n.newServer(), l)
+	}
+	reducer := store.New(cfg.Limits, cfg.Faults, wire.HostList{Workers: slices.Clone(list), Hosts: cfg.Hosts})
+	s.platform = newPlatform(s.clock, reducer, s.shown)
+	router := httprouter.New()
+	router.RedirectTrailingSlash, router.RedirectFixedPath = false, false
+	s.platform.routes(router)
+	s.adminRoutes(router)
+	s.front = &http.Server{Handler: router}
+	s.tasks.Go(func() { s.platform.run(ctx) })
+	s.serve(s.front, listeners[0])
+	return s, nil
+}
+
+// serve serves until the server is closed.
+func (s *Server) serve(server *http.Server, l net.Listener) {
+	// Serve always returns an error, and it is http.ErrServerClosed after Close.
+	s.tasks.Go(func() { _ = server.Serve(l) })
+}
+
+// listen opens the platform's port and one for each worker.
+func listen(cfg Config, list []wire.ListedWorker) ([]net.Listener, error) {
+	addresses := []string{cfg.StoreAddress}
+	if cfg.StoreAddress == "" {
+		addresses[0] = "127.0.0.1:0"
+	}
+	ip := cfg.WorkerIP
+	if ip == "" {
+		ip = "127.0.0.1"
+	}
+	for i := range list {
+		port := 0
+		if cfg.WorkerBasePort > 0 {
+			port = cfg.WorkerBasePort + i
+		}
+		addresses = append(addresses, net.JoinHostPort(ip, strconv.Itoa(port)))
+	}
+	var listeners []net.Listener
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				open.Close()
+			}
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// Close ends the stand-in and returns once everything in it has ended.
+func (s *Server) Close() {
+	s.front.Close()
+	for _, n := range s.workers {
+		n.stop()
+	}
+	s.cancel()
+	s.tasks.Wait()
+}
+
+// StoreAddress is the platform's ip:port, also of the administration.
+func (s *Server) StoreAddress() string { return s.address }
+
+// Workers lists the workers with their addresses.
+func (s *Server) Workers() []wire.ListedWorker {
+	var list []wire.ListedWorker
+	for _, n := range s.workers {
+		list = append(list, n.listed)
+	}
+	return list
+}
+
+// errClosed is returned once the stand-in or the caller's context has ended.
+var errClosed = errors.New("stand-in is closed or the request was cancelled")
+
+func closedUnless(ok bool) error {
+	if ok {
+		return nil
+	}
+	return errClosed
+}
+
+// shown tells a worker how the host list shows it.
+func (s *Server) shown(ctx context.Context, w store.WorkerShown) {
+	if n := s.byID[w.ID]; n != nil {
+		n.post(ctx, worker.Shown{Leaving: w.Leaving})
+	}
+}
--- a/standin/store/advance.go
+++ b/standin/store/advance.go
@@ -50,8 +50,8 @@
 			return true
 		})
 	}
-	for _, id := range r.hosts.publish(r.now, r.hostLag()) {
-		r.emit(WorkerShownLeaving{ID: id})
+	for _, shown := range r.hosts.publish(r.now, r.hostLag()) {
+		r.emit(shown)
 	}
 }
 
@@ -59,8 +59,7 @@
 	return time.Duration(r.faults.HostLagMS) * time.Millisecond
 }
 
-// scheduleWake asks for the next moment at which something is due, unless an
-// earlier one was asked for already.
+// scheduleWake asks for the next moment at which something is due.
 func (r *Reducer) scheduleWake() {
 	var next core.Time
 	due := func(at core.Time) {
@@ -77,7 +76,7 @@
 	if len(r.hosts.pending) > 0 {
 		due(r.hosts.pending[0].at.Add(r.hostLag()))
 	}
-	if next != 0 && (r.wake <= r.now || next < r.wake) {
+	if next != 0 && next != r.wake {
 		r.wake = next
 		r.emit(WakeAt{At: next})
 	}
--- a/standin/store/hosts.go
+++ b/standin/store/hosts.go
@@ -22,21 +22,19 @@
 }
 
 // publish applies the changes that are older than lag. It returns the workers
-// that the list now shows as leaving or no longer shows.
-func (h *hostList) publish(now core.Time, lag time.Duration) (leaving []string) {
+// for which the list has changed.
+func (h *hostList) publish(now core.Time, lag time.Duration) (shown []WorkerShown) {
 	for len(h.pending) > 0 && h.pending[0].at.Add(lag) <= now {
 		body := h.pending[0].body
 		h.pending = h.pending[1:]
 		switch b := body.(type) {
 		case WorkerListed:
 			h.published.Workers = replace(h.published.Workers, b.Worker, b.Worker.ID, workerID)
-			if b.Worker.Leaving {
-				leaving = append(leaving, b.Worker.ID)
-			}
+			shown = append(shown, WorkerShown{ID: b.Worker.ID, Leaving: b.Worker.Leaving})
 		case WorkerLeft:
 			h.published.Workers = leave(h.published.Workers, b.ID, b.Gone, workerID,
 				func(w *wire.ListedWorker) { w.Leaving = true })
-			leaving = append(leaving, b.ID)
+			shown = append(shown, WorkerShown{ID: b.ID, Leaving: true})
 		case HostListed:
 			h.published.Hosts = replace(h.published.Hosts, b.Host, b.Host.ID, hostID)
 		case HostLeft:
@@ -44,7 +42,7 @@
 				func(l *wire.ListedHost) { l.Leaving = true })
 		}
 	}
-	return leaving
+	return shown
 }
 
 func workerID(w wire.ListedWorker) string { return w.ID }
--- a/standin/store/types.go
+++ b/standin/store/types.go
@@ -143,11 +143,14 @@
 		// Lost closes the connection instead of answering.
 		Lost bool
 	}
-	// WakeAt asks for Elapsed at a time.
+	// WakeAt asks for Elapsed at a time, instead of the time asked for before.
 	WakeAt struct{ At core.Time }
-	// WorkerShownLeaving says that the published list now shows a worker as
-	// leaving or no longer shows it.
-	WorkerShownLeaving struct{ ID string }
+	// WorkerShown says that the published list has changed for a worker. A
+	// worker that is no longer listed counts as leaving.
+	WorkerShown struct {
+		ID      string
+		Leaving bool
+	}
 )
 
 // Outage is a way in which the store is down.
@@ -215,6 +218,6 @@
 func (Watch) kind() Kind  { return KindWatch }
 func (Hosts) kind() Kind  { return KindHosts }
 
-func (Answer) effect()             {}
-func (WakeAt) effect()             {}
-func (WorkerShownLeaving) effect() {}
+func (Answer) effect()      {}
+func (WakeAt) effect()      {}
+func (WorkerShown) effect() {}
--- /dev/null
+++ b/standin/topology.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Topology lists the workers of a stand-in by place.
+type Topology struct {
+	DataCentres []DataCentre `json:"data_centres"`
+}
+
+// DataCentre is one data centre.
+type DataCentre struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Racks  []Rack `json:"racks"`
+}
+
+// Rack is one rack of a data centre.
+type Rack struct {
+	Name    string        `json:"name"`
+	Workers []WorkerGroup `json:"workers"`
+}
+
+// WorkerGroup is a number of equal workers. With a count above one the ids are
+// <id>-1, <id>-2 and so on.
+type WorkerGroup struct {
+	ID       string         `json:"id"`
+	Count    int            `json:"count"`
+	Capacity wire.Resources `json:"capacity"`
+}
+
+// DefaultTopology has three data centres in regions of their own, with two racks
+// of eight workers each.
+func DefaultTopology() Topology {
+	capacity := wire.Resources{MilliCPU: 32_000, MemoryMB: 128 << 10, Slots: 8, Connections: 64}
+	var t Topology
+	for _, name := range []string{"a", "b", "c"} {
+		dc := DataCentre{Name: "dc-" + name, Region: "region-" + name}
+		for rack := 1; rack <= 2; rack++ {
+			dc.Racks = append(dc.Racks, Rack{
+				Name:    fmt.Sprintf("rack-%d", rack),
+				Workers: []WorkerGroup{{ID: fmt.Sprintf("%s-%d", name, rack), Count: 8, Capacity: capacity}},
+			})
+		}
+		t.DataCentres = append(t.DataCentres, dc)
+	}
+	return t
+}
+
+// ParseTopology decodes a topology file. Unknown fields are errors.
+func ParseTopology(data []byte) (Topology, error) {
+	var t Topology
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&t); err != nil {
+		return t, fmt.Errorf("decode topology: %w", err)
+	}
+	_, err := t.workers()
+	return t, err
+}
+
+// workers lists all workers, without addresses.
+func (t Topology) workers() ([]wire.ListedWorker, error) {
+	var list []wire.ListedWorker
+	seen := map[string]bool{}
+	for _, dc := range t.DataCentres {
+		for _, rack := range dc.Racks {
+			for _, group := range rack.Workers {
+				for _, id := range group.ids() {
+					if id == "" || seen[id] {
+						return nil, fmt.Errorf("worker id %q in rack %q of data centre %q is empty or not unique", id, rack.Name, dc.Name)
+					}
+					seen[id] = true
+					list = append(list, wire.ListedWorker{
+						ID: id, Rack: rack.Name, DataCentre: dc.Name, Region: dc.Region, Capacity: group.Capacity,
+					})
+				}
+				if c := group.Capacity.Core(); c.Negative() || c.IsZero() {
+					return nil, fmt.Errorf("capacity of worker %q is %v; each field must be at least 0 and one above 0", group.ID, c)
+				}
+			}
+		}
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("topology has no workers")
+	}
+	return list, nil
+}
+
+func (g WorkerGroup) ids() []string {
+	if g.Count <= 1 {
+		return []string{g.ID}
+	}
+	ids := make([]string, g.Count)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%s-%d", g.ID, i+1)
+	}
+	return ids
+}
--- a/standin/worker/advance.go
+++ b/standin/worker/advance.go
@@ -61,8 +61,7 @@
 	}
 }
 
-// scheduleWake asks for the next due moment, unless an earlier one was asked for
-// already.
+// scheduleWake asks for the next due moment.
 func (r *Reducer) scheduleWake() {
 	at, act := r.next()
 	found := act != nil
@@ -73,7 +72,7 @@
 	}
 	// A due moment in the same nanosecond would ask for a wake in the past.
 	at = max(at, r.now.Add(time.Nanosecond))
-	if found && (r.wake <= r.now || at < r.wake) {
+	if found && at != r.wake {
 		r.wake = at
 		r.out = append(r.out, WakeAt{At: at})
 	}
--- a/standin/worker/reducer.go
+++ b/standin/worker/reducer.go
@@ -19,7 +19,7 @@
 	UsageLag time.Duration
 	// Retain is how long an ended task stays in the ledger that syncs show.
 	Retain time.Duration
-	// Incarnation is the first incarnation.
+	// Incarnation is the first incarnation; it is not zero.
 	Incarnation uint64
 }
 
@@ -36,7 +36,9 @@
 	dead        bool
 	epoch       core.Epoch
 	// synced is the epoch of the latest sync.
-	synced   core.Epoch
+	synced core.Epoch
+	// sequence counts changes from incarnation on. No sequence number of an
+	// earlier incarnation is therefore taken for one of this.
 	sequence uint64
 	tasks    map[wire.TaskRef]*run
 	running  []*run
@@ -60,7 +62,7 @@
 // New returns a worker that runs nothing.
 func New(cfg Config) *Reducer {
 	return &Reducer{
-		cfg: cfg, incarnation: cfg.Incarnation,
+		cfg: cfg, incarnation: cfg.Incarnation, sequence: cfg.Incarnation,
 		tasks: map[wire.TaskRef]*run{}, refusals: map[string]int{},
 	}
 }
@@ -74,18 +76,15 @@
 		r.waiting = slices.DeleteFunc(r.waiting, func(w waiter) bool { return w.request == b.Request })
 	case FaultsSet:
 		r.setFaults(b.Faults)
-	case ShownLeaving:
-		if r.leavingSince == 0 {
-			r.leavingSince = r.now
-			r.sequence++
-		}
+	case Shown:
+		r.shown(b.Leaving)
 	case Killed:
 		r.end()
 		r.dead = true
 	case Restarted:
 		r.end()
 		r.dead = false
-		r.incarnation = b.Incarnation
+		r.incarnation, r.sequence = b.Incarnation, b.Incarnation
 	case ReportAsked:
 		r.out = append(r.out, Answer{Request: b.Request, Body: r.report()})
 	default:
@@ -183,7 +182,7 @@
 func (r *Reducer) wakeSyncs() {
 	r.waiting = slices.DeleteFunc(r.waiting, func(w waiter) bool {
 		since := w.sync.Since
-		full := since == 0 || since > r.sequence
+		full := since < r.incarnation || since > r.sequence
 		if !full && since == r.sequence && w.until > r.now {
 			return false
 		}
@@ -239,10 +238,18 @@
 	}
 	r.tasks = map[wire.TaskRef]*run{}
 	r.waiting = nil
-	r.epoch, r.synced, r.sequence = 0, 0, 0
-	if r.leavingSince != 0 {
-		r.sequence = 1
+	r.epoch, r.synced = 0, 0
+}
+
+// shown notes since when the platform's list shows the worker as leaving.
+func (r *Reducer) shown(leaving bool) {
+	switch {
+	case !leaving:
+		r.leavingSince = 0
+	case r.leavingSince == 0:
+		r.leavingSince = r.now
 	}
+	r.sequence++
 }
 
 // setFaults replaces the switches. Requests that wait at a worker that turns
--- a/standin/worker/summary.go
+++ b/standin/worker/summary.go
@@ -16,7 +16,7 @@
 type Summary struct {
 	Starts int             `json:"starts"`
 	Ends   map[Outcome]int `json:"ends"`
-	// Doubled lists what ran in two places at one moment.
+	// Doubled lists what ran twice at one moment, at two workers or at one.
 	Doubled []Repeat `json:"doubled"`
 	// Repeated lists what was started more than once. The caller knows which
 	// kinds are idempotent.
--- a/standin/worker/types.go
+++ b/standin/worker/types.go
@@ -75,11 +75,12 @@
 	Elapsed struct{}
 	// FaultsSet replaces the fault switches.
 	FaultsSet struct{ Faults Faults }
-	// ShownLeaving says that the platform's list shows the worker as leaving.
-	ShownLeaving struct{}
+	// Shown says how the platform's list now shows the worker.
+	Shown struct{ Leaving bool }
 	// Killed ends the worker.
 	Killed struct{}
 	// Restarted begins a new incarnation, which knows nothing of earlier ones.
+	// Its number is greater than all sequence numbers given out before.
 	Restarted struct{ Incarnation uint64 }
 	// ReportAsked asks for the account of all incarnations.
 	ReportAsked struct{ Request RequestID }
@@ -117,7 +118,7 @@
 		Delay    time.Duration
 		Truncate bool
 	}
-	// WakeAt asks for Elapsed at a time.
+	// WakeAt asks for Elapsed at a time, instead of the time asked for before.
 	WakeAt struct{ At core.Time }
 )
 
@@ -191,17 +192,17 @@
 	Refusals    map[string]int `json:"refusals"`
 }
 
-func (SyncAsked) eventBody()    {}
-func (StartAsked) eventBody()   {}
-func (SignalAsked) eventBody()  {}
-func (CallAsked) eventBody()    {}
-func (Abandoned) eventBody()    {}
-func (Elapsed) eventBody()      {}
-func (FaultsSet) eventBody()    {}
-func (ShownLeaving) eventBody() {}
-func (Killed) eventBody()       {}
-func (Restarted) eventBody()    {}
-func (ReportAsked) eventBody()  {}
+func (SyncAsked) eventBody()   {}
+func (StartAsked) eventBody()  {}
+func (SignalAsked) eventBody() {}
+func (CallAsked) eventBody()   {}
+func (Abandoned) eventBody()   {}
+func (Elapsed) eventBody()     {}
+func (FaultsSet) eventBody()   {}
+func (Shown) eventBody()       {}
+func (Killed) eventBody()      {}
+func (Restarted) eventBody()   {}
+func (ReportAsked) eventBody() {}
 
 func (Answer) effect() {}
 func (WakeAt) effect() {}
