Add the entry daemon, the grant pool and the embedded mode

Cause: nothing served a request yet. Change: package entry steps the reducer on one goroutine and carries out its effects; interactive calls run on grants without the control goroutine. Package embedded runs the stand-in in the daemon's process.

--- /dev/null
+++ b/cmd/banyanrun-entry/main.go
@@ -0,0 +1,70 @@
+// Command banyanrun-entry is the daemon of one entry host.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"banyanrun.example/banyanrun/embedded"
+	"banyanrun.example/banyanrun/entry"
+)
+
+// exitUsage is the exit code for settings that are not allowed.
+const exitUsage = 2
+
+// settings are the command's flags.
+type settings struct {
+	entry.Settings
+	Embedded bool `long:"embedded" env:"BANYANRUN_EMBEDDED" description:"run the platform and workers in this process, for a first try on one machine"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run returns the exit code.
+func run(args []string) int {
+	var set settings
+	parser := flags.NewParser(&set, flags.Default)
+	if _, err := parser.ParseArgs(args); err != nil {
+		var wrong *flags.Error
+		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	level, err := zerolog.ParseLevel(set.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, &entry.SettingError{Setting: "log-level", Value: set.LogLevel, Allowed: "debug, info, warn, error"})
+		return exitUsage
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if set.Embedded {
+		platform, err := embedded.Start(&set.Settings)
+		if err != nil {
+			log.Error().Err(err).Msg("embedded platform did not start")
+			return 1
+		}
+		defer platform.Close()
+	}
+	daemon, err := entry.New(set.Settings, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	began := time.Now()
+	if err := daemon.Run(ctx); err != nil {
+		log.Error().Err(err).Msg("stopped")
+		return 1
+	}
+	log.Info().Dur("uptime", time.Since(began)).Msg("stopped")
+	return 0
+}
--- a/core/deadline.go
+++ b/core/deadline.go
@@ -43,6 +43,9 @@
 		r.acceptTimedOut(j)
 	case j.state == JobQueued && !j.everStarted() && r.now >= j.startBy():
 		r.endUnstarted(j)
+	case j.cancelled && j.runsSomewhere():
+		r.stopTasks(j)
+		r.jobs.timers.add(r.now.Add(settleRecheck), j.spec.ID)
 	case r.now >= j.deadline():
 		r.deadlinePassed(j)
 	default:
--- a/core/event.go
+++ b/core/event.go
@@ -135,6 +135,15 @@
 		HighestEpoch Epoch
 	}
 
+	// SignalFailed says that a signal did not arrive. It is sent again.
+	SignalFailed struct {
+		Worker       WorkerID
+		Epoch        Epoch
+		Task         TaskRef
+		Signal       Signal
+		HighestEpoch Epoch
+	}
+
 	// CallsReported brings the traffic side's use of grants since the last
 	// report.
 	CallsReported struct {
@@ -266,6 +275,7 @@
 func (WorkerSynced) eventBody()     {}
 func (WorkerFailed) eventBody()     {}
 func (StartAnswered) eventBody()    {}
+func (SignalFailed) eventBody()     {}
 func (CallsReported) eventBody()    {}
 func (PeerHeard) eventBody()        {}
 func (SummaryHeard) eventBody()     {}
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -354,3 +354,34 @@
 		Worker: w.id, Address: w.address, Epoch: r.owner.epoch, Task: j.ref(t), Signal: s,
 	})
 }
+
+// onSignalFailed notes a signal that did not arrive, to be sent again.
+func (r *Reducer) onSignalFailed(f SignalFailed) {
+	if f.Epoch != r.owner.epoch {
+		return
+	}
+	if f.HighestEpoch > r.owner.epoch {
+		r.onHigherEpoch(f.HighestEpoch)
+		return
+	}
+	r.resignal = append(r.resignal, f)
+}
+
+// tickSignals sends signals again that did not arrive and still have an object.
+func (r *Reducer) tickSignals() {
+	failed := r.resignal
+	r.resignal = nil
+	for _, f := range failed {
+		w := r.fleet.get(f.Worker)
+		if w == nil || w.lost {
+			continue
+		}
+		_, t := r.findTask(f.Task)
+		running := t != nil && t.state == taskRunning && t.worker == w.id
+		if _, orphan := w.orphans[f.Task]; running || orphan {
+			r.emit(SignalTask{
+				Worker: w.id, Address: w.address, Epoch: r.owner.epoch, Task: f.Task, Signal: f.Signal,
+			})
+		}
+	}
+}
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -339,7 +339,7 @@
 	r.journal = newJournal(r.cfg.JournalRate)
 	r.reserve = newReservations()
 	r.grants = newGrantTable()
-	r.held, r.throttledTasks, r.resuming = nil, nil, false
+	r.held, r.throttledTasks, r.resignal, r.resuming = nil, nil, nil, false
 	for _, t := range r.docs.teams {
 		t.used, t.queued = Resources{}, 0
 	}
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -83,6 +83,8 @@
 
 	// held lists durable assignments that wait for a certain lease.
 	held []TaskRef
+	// resignal lists signals that did not arrive.
+	resignal []SignalFailed
 
 	nextServices Time
 	wasReady     bool
@@ -162,6 +164,8 @@
 		r.onWorkerFailed(b)
 	case StartAnswered:
 		r.onStartAnswered(b)
+	case SignalFailed:
+		r.onSignalFailed(b)
 	case CallsReported:
 		r.onCallsReported(b)
 	case PeerHeard:
--- a/core/store.go
+++ b/core/store.go
@@ -30,6 +30,16 @@
 	PurposeDocumentHistory
 )
 
+var purposeNames = [...]string{
+	"owner_read", "lease_grant", "lease_key", "owner_swap", "lease_renew", "lease_revoke",
+	"journal_write", "journal_read_back", "journal_load", "journal_open", "journal_delete",
+	"document_read", "document_write", "document_read_back", "document_list",
+	"document_watch", "document_history",
+}
+
+// String returns the name used in metrics.
+func (p Purpose) String() string { return purposeNames[p] }
+
 // StoreOp identifies one store operation in its result.
 type StoreOp struct {
 	Purpose Purpose
--- a/core/sync.go
+++ b/core/sync.go
@@ -79,6 +79,7 @@
 	}
 	r.tickHealth()
 	r.tickResends()
+	r.tickSignals()
 }
 
 // surelyLost reports whether all tasks on w have ended because their leases have
--- /dev/null
+++ b/entry/peer.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Paths of the messages between entry hosts.
+const (
+	pathHeartbeat = "/peer/v1/heartbeat"
+	pathSummary   = "/peer/v1/summary"
+	pathDocuments = "/peer/v1/documents"
+)
+
+const (
+	// peerTimeout bounds one message to a peer. Heartbeats are sent anew
+	// every second, so a late one is worth nothing.
+	peerTimeout = 2 * time.Second
+	// peerIdle bounds the time that a connection to a peer stays unused.
+	peerIdle = 10 * time.Second
+	// peerConnections bounds the connections to one peer.
+	peerConnections = 64
+)
+
+// newPeerClient returns the client for messages to peers.
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
+		IdleConnTimeout:     peerIdle,
+		MaxIdleConnsPerHost: peerConnections,
+	}}
+}
+
+// sendPeer sends one message. A lost message is not sent again: the next
+// heartbeat or the poll of the store makes up for it.
+func (d *Daemon) sendPeer(ctx context.Context, address, path string, message any) {
+	data, err := json.Marshal(message)
+	if err != nil {
+		d.log.Error().Err(err).Str("path", path).Msg("message cannot be encoded")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		d.log.Error().Err(err).Str("address", address).Msg("peer address is not usable")
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	result := "ok"
+	resp, err := d.peers.Do(req)
+	if err != nil {
+		result = "failed"
+	} else {
+		_, _ = io.Copy(io.Discard, resp.Body) // The body is empty.
+		_ = resp.Body.Close()
+	}
+	d.metrics.GetOrCreateCounter(`banyanrun_peer_messages_total{path="` + path + `",result="` + result + `"}`).Inc()
+	d.metrics.GetOrCreateCounter(`banyanrun_peer_bytes_total{path="` + path + `"}`).Add(len(data))
+}
+
+// receive decodes a peer's message and posts it as an event.
+func receive[M any](d *Daemon, w http.ResponseWriter, r *http.Request, event func(M) core.EventBody) {
+	data, ref := readBody(w, r, maxPeerBody)
+	if ref != nil {
+		writeRefusal(w, ref)
+		return
+	}
+	var m M
+	if err := json.Unmarshal(data, &m); err != nil {
+		writeRefusal(w, invalid("message: %v", err))
+		return
+	}
+	d.post(r.Context(), event(m))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (d *Daemon) heartbeat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	receive(d, w, r, func(m core.Heartbeat) core.EventBody { return core.PeerHeard{Heartbeat: m} })
+}
+
+func (d *Daemon) summary(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	receive(d, w, r, func(m core.Summary) core.EventBody { return core.SummaryHeard{Summary: m} })
+}
+
+func (d *Daemon) documents(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	receive(d, w, r, func(m core.DocumentsRead) core.EventBody { return m })
+}
+
+// forward passes a caller's request on to another host and copies the answer.
+// It returns a verdict if there was no whole answer.
+func (d *Daemon) forward(ctx context.Context, w http.ResponseWriter, o *original, f core.Forward) (bool, core.Verdict) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, o.method, "http://"+f.Address+o.path, bytes.NewReader(o.body))
+	if err != nil {
+		return false, core.NotRun
+	}
+	req.Header.Set(wire.HeaderForwarded, d.set.Host)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := d.peers.Do(req)
+	if err != nil {
+		return false, dialVerdict(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPeerBody))
+	if err != nil {
+		return false, core.MayHaveRun
+	}
+	if resp.Header.Get(wire.HeaderReason) == string(core.ReasonNoOwner) {
+		return false, core.NotRun // It is no longer the owner.
+	}
+	for _, name := range []string{"Content-Type", "Retry-After", wire.HeaderVerdict, wire.HeaderReason} {
+		if v := resp.Header.Get(name); v != "" {
+			w.Header().Set(name, v)
+		}
+	}
+	w.WriteHeader(resp.StatusCode)
+	_, _ = w.Write(body) // A caller that has gone needs no answer.
+	return true, core.Ran
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+const (
+	// defaultWait bounds a request that waits for the reducer's reply.
+	defaultWait = 60 * time.Second
+	// maxWait is the longest wait that a caller may ask for.
+	maxWait = 10 * time.Minute
+	// forwardTimeout bounds a forwarded request. It exceeds maxWait, so that
+	// a wait ends at the host that answers it.
+	forwardTimeout = maxWait + 10*time.Second
+)
+
+// original is a caller's request as it can be sent again to another host.
+type original struct {
+	method string
+	path   string
+	body   []byte
+}
+
+// isForwarded reports whether another entry host passed the request on.
+func isForwarded(r *http.Request) bool { return r.Header.Get(wire.HeaderForwarded) != "" }
+
+// question is a request that the reducer answers.
+type question struct {
+	// body is the caller's body, for forwarding.
+	body []byte
+	// wait bounds the wait for the answer.
+	wait time.Duration
+	// event builds the event that asks.
+	event func(core.RequestID) core.EventBody
+	// answer writes the reducer's reply.
+	answer func(core.Reply)
+	// expired answers when wait has passed. The default is a refusal.
+	expired func()
+}
+
+// ask posts an event and answers the request with the reducer's reply. It
+// forwards the request when the reducer says so.
+func (d *Daemon) ask(w http.ResponseWriter, r *http.Request, q question) {
+	id, replies := d.open.open()
+	defer d.open.close(id)
+	ctx, cancel := context.WithTimeout(r.Context(), q.wait)
+	defer cancel()
+	if !d.post(ctx, q.event(id)) {
+		writeRefusal(w, &core.Refusal{Reason: core.ReasonDraining, Message: "host is stopping"})
+		return
+	}
+	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body}
+	for {
+		select {
+		case f := <-replies:
+			if reply, ok := f.(core.Reply); ok {
+				q.answer(reply)
+				return
+			}
+			done, verdict := d.forward(ctx, w, o, f.(core.Forward))
+			if done {
+				return
+			}
+			d.post(ctx, core.ForwardFailed{Request: id, Verdict: verdict})
+		case <-ctx.Done():
+			d.post(context.WithoutCancel(r.Context()), core.RequestAbandoned{Request: id})
+			if q.expired != nil && r.Context().Err() == nil {
+				q.expired()
+				return
+			}
+			writeRefusal(w, &core.Refusal{
+				Reason: core.ReasonDeadline, Verdict: core.MayHaveRun, RetryAfter: time.Second,
+				Message: "no answer yet; ask for the status",
+			})
+			return
+		}
+	}
+}
+
+// dialVerdict tells a request that was never sent from one that may have been
+// carried out.
+func dialVerdict(err error) core.Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return core.NotRun
+	}
+	return core.MayHaveRun
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,122 @@
+// Package entry is the entry host's daemon: the callers', operators' and peers'
+// HTTP API, and the executor of the reducer's effects.
+//
+// All control state is in core.Reducer, which one goroutine steps. Handlers post
+// events and wait for replies; they decide nothing about jobs.
+package entry
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// Settings are the daemon's settings. The tags serve go-flags.
+type Settings struct {
+	Host       string `long:"host" env:"BANYANRUN_HOST" description:"name of this entry host, unique among all entry hosts"`
+	Listen     string `long:"listen" env:"BANYANRUN_LISTEN" default:"127.0.0.1:7600" description:"ip:port of the callers', operators' and peers' API"`
+	Advertise  string `long:"advertise" env:"BANYANRUN_ADVERTISE" description:"ip:port at which peers reach this host; the listen address if empty"`
+	DataCentre string `long:"data-centre" env:"BANYANRUN_DATA_CENTRE" description:"data centre of this host"`
+	Region     string `long:"region" env:"BANYANRUN_REGION" description:"region of this host; the data centre if empty"`
+	Platform   string `long:"platform" env:"BANYANRUN_PLATFORM" description:"ip:port of the platform's store and host list"`
+
+	OwnerLease  time.Duration `long:"owner-lease" env:"BANYANRUN_OWNER_LEASE" default:"6s" description:"time to live of the owner's lease"`
+	TaskLease   time.Duration `long:"task-lease" env:"BANYANRUN_TASK_LEASE" default:"30s" description:"how long a worker runs tasks on without a sync"`
+	SyncWait    time.Duration `long:"sync-wait" env:"BANYANRUN_SYNC_WAIT" default:"10s" description:"how long a worker may hold back the answer to a sync"`
+	JournalRate float64       `long:"journal-rate" env:"BANYANRUN_JOURNAL_RATE" default:"4" description:"journal writes per second in the long run"`
+
+	StoreTimeout  time.Duration `long:"store-timeout" env:"BANYANRUN_STORE_TIMEOUT" default:"2s" description:"bound of one call to the store"`
+	WorkerTimeout time.Duration `long:"worker-timeout" env:"BANYANRUN_WORKER_TIMEOUT" default:"5s" description:"bound of one start or signal"`
+	DrainTimeout  time.Duration `long:"drain-timeout" env:"BANYANRUN_DRAIN_TIMEOUT" default:"60s" description:"bound of a planned stop"`
+	MaxRequests   int           `long:"max-requests" env:"BANYANRUN_MAX_REQUESTS" default:"4096" description:"requests of callers in progress at a time"`
+
+	Seed     uint64 `long:"seed" env:"BANYANRUN_SEED" description:"seed of the reducer's random draws; the time of the start if zero"`
+	Record   string `long:"record" env:"BANYANRUN_RECORD" description:"file that every event and its effects are recorded to, for banyanrun-replay"`
+	LogLevel string `long:"log-level" env:"BANYANRUN_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
+}
+
+// SettingError says what is wrong with one setting.
+type SettingError struct {
+	Setting string
+	Value   string
+	Allowed string
+}
+
+// Error implements error.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting --%s: %q is not allowed; allowed: %s", e.Setting, e.Value, e.Allowed)
+}
+
+// Check fills in derived settings and returns the first that is not allowed.
+func (s *Settings) Check() error {
+	if s.Advertise == "" {
+		s.Advertise = s.Listen
+	}
+	if s.Region == "" {
+		s.Region = s.DataCentre
+	}
+	for _, name := range []struct{ setting, value string }{
+		{"host", s.Host}, {"data-centre", s.DataCentre}, {"region", s.Region},
+	} {
+		if name.value == "" || strings.ContainsAny(name.value, "/ \t\n") {
+			return &SettingError{name.setting, name.value, "a name without slashes and spaces"}
+		}
+	}
+	for _, a := range []struct{ setting, value string }{
+		{"listen", s.Listen}, {"advertise", s.Advertise}, {"platform", s.Platform},
+	} {
+		host, _, err := net.SplitHostPort(a.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return &SettingError{a.setting, a.value, "ip:port"}
+		}
+	}
+	return s.checkNumbers()
+}
+
+// checkNumbers checks durations and counts.
+func (s *Settings) checkNumbers() error {
+	for _, d := range []struct {
+		setting    string
+		value      time.Duration
+		least, top time.Duration
+	}{
+		{"owner-lease", s.OwnerLease, 2 * time.Second, time.Minute},
+		{"task-lease", s.TaskLease, 2 * time.Second, 10 * time.Minute},
+		{"sync-wait", s.SyncWait, 100 * time.Millisecond, time.Minute},
+		{"store-timeout", s.StoreTimeout, 10 * time.Millisecond, time.Minute},
+		{"worker-timeout", s.WorkerTimeout, 10 * time.Millisecond, time.Minute},
+		{"drain-timeout", s.DrainTimeout, time.Second, time.Hour},
+	} {
+		if d.value < d.least || d.value > d.top {
+			return &SettingError{d.setting, d.value.String(), fmt.Sprintf("%s to %s", d.least, d.top)}
+		}
+	}
+	if s.SyncWait >= s.TaskLease {
+		return &SettingError{"sync-wait", s.SyncWait.String(), "less than --task-lease"}
+	}
+	if s.JournalRate < 0.1 || s.JournalRate > 100 {
+		return &SettingError{"journal-rate", fmt.Sprint(s.JournalRate), "0.1 to 100"}
+	}
+	if s.MaxRequests < 1 || s.MaxRequests > 1<<20 {
+		return &SettingError{"max-requests", fmt.Sprint(s.MaxRequests), "1 to 1048576"}
+	}
+	return nil
+}
+
+// config converts to the reducer's configuration.
+func (s *Settings) config(started time.Time) core.Config {
+	seed := s.Seed
+	if seed == 0 {
+		seed = uint64(started.UnixNano())
+	}
+	return core.Config{
+		Host: core.HostID(s.Host), Address: s.Advertise,
+		DataCentre: core.DataCentre(s.DataCentre), Region: core.Region(s.Region),
+		Incarnation: uint64(started.UnixNano()), Seed: seed,
+		OwnerLease: s.OwnerLease, TaskLease: s.TaskLease, SyncWait: s.SyncWait,
+		JournalRate: s.JournalRate,
+	}
+}
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -2,7 +2,11 @@
 // conversion to and from the types of package core.
 package wire
 
-import "banyanrun.example/banyanrun/core"
+import (
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
 
 // Paths of the worker protocol. Each is a POST with a JSON body, except
 // PathCall, whose body belongs to the caller.
@@ -124,3 +128,22 @@
 	HighestEpoch core.Epoch  `json:"highest_epoch"`
 	Message      string      `json:"message"`
 }
+
+// Synced converts a worker's answer to a sync that was sent with an epoch.
+func Synced(w core.WorkerID, epoch core.Epoch, r *SyncResponse) core.WorkerSynced {
+	out := core.WorkerSynced{
+		Worker: w, Epoch: epoch, Incarnation: r.Incarnation, Sequence: r.Sequence,
+		Full: r.Full, Leaving: r.Leaving,
+	}
+	for _, t := range r.Tasks {
+		out.Tasks = append(out.Tasks, core.TaskReport{
+			Task: t.Core(), State: t.State, Requested: t.Requested.Core(), Used: t.Used.Core(),
+			RunTime: time.Duration(t.RunTimeMS) * time.Millisecond, Checkpoint: t.Checkpoint,
+			Result: t.Result, Throttled: t.Throttled,
+		})
+	}
+	for _, c := range r.CallsInProgress {
+		out.CallsInProgress = append(out.CallsInProgress, core.CallCount(c))
+	}
+	return out
+}
