--- a/core/view.go
+++ b/core/view.go
@@ -76,6 +76,15 @@
 
 var workerStateNames = [...]string{"unfenced", "ready", "leaving", "silent", "suspended"}
 
+// WorkerStates lists the states in declaration order.
+func WorkerStates() []WorkerState {
+	states := make([]WorkerState, len(workerStateNames))
+	for i := range states {
+		states[i] = WorkerState(i)
+	}
+	return states
+}
+
 // String returns the name used in the operators' views.
 func (s WorkerState) String() string { return workerStateNames[s] }
 
--- a/ctl/plan.go
+++ b/ctl/plan.go
@@ -189,14 +189,10 @@
 func (c *hostsCommand) plan(env *environment) Step { return Hosts(env.JSON) }
 
 func (c *workersCommand) plan(env *environment) Step {
-	if c.State == "" {
+	if c.State == nil {
 		return Workers(nil, env.JSON)
 	}
-	var state core.WorkerState
-	if err := state.UnmarshalText([]byte(c.State)); err != nil {
-		return usage(err)
-	}
-	return Workers(&state, env.JSON)
+	return Workers(&c.State.WorkerState, env.JSON)
 }
 
 func (c *teamsCommand) plan(env *environment) Step { return Teams(c.Team, env.JSON) }
--- a/ctl/settings.go
+++ b/ctl/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 	"unicode"
 	"unicode/utf8"
@@ -175,7 +176,24 @@
 type hostsCommand struct{}
 
 type workersCommand struct {
-	State string `long:"state" env:"BANYANCTL_STATE" choice:"unfenced" choice:"ready" choice:"leaving" choice:"silent" choice:"suspended" description:"list only workers in this state"`
+	State *stateFlag `long:"state" env:"BANYANCTL_STATE" description:"list only workers in this state"`
+}
+
+// stateFlag is the state of a worker as a flag that shells can complete.
+type stateFlag struct{ core.WorkerState }
+
+// UnmarshalFlag implements flags.Unmarshaler.
+func (s *stateFlag) UnmarshalFlag(value string) error { return s.UnmarshalText([]byte(value)) }
+
+// Complete implements flags.Completer.
+func (s *stateFlag) Complete(match string) []flags.Completion {
+	var out []flags.Completion
+	for _, state := range core.WorkerStates() {
+		if name := state.String(); strings.HasPrefix(name, match) {
+			out = append(out, flags.Completion{Item: name})
+		}
+	}
+	return out
 }
 
 type teamsCommand struct {
