--- a/document/decode_test.go
+++ b/document/decode_test.go
@@ -147,3 +147,29 @@
 		}
 	})
 }
+
+// TestPageExample guards against an example on the page that is refused.
+func TestPageExample(t *testing.T) {
+	page := string(readFile(t, "../docs/document.md"))
+	_, rest, _ := strings.Cut(page, "```json\n")
+	example, _, found := strings.Cut(rest, "```")
+	if !found {
+		t.Fatal("docs/document.md has no JSON example")
+	}
+	if _, _, err := Validate([]byte(example), nil); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestPageNamesEveryField guards against fields that the page leaves out.
+func TestPageNamesEveryField(t *testing.T) {
+	page := string(readFile(t, "../docs/document.md"))
+	for _, v := range []any{form{}, sizesForm{}, kindForm{}, preemptionForm{}, serviceForm{}} {
+		for f := range reflect.TypeOf(v).NumField() {
+			name, _, _ := strings.Cut(reflect.TypeOf(v).Field(f).Tag.Get("json"), ",")
+			if !strings.Contains(page, "\n| `"+name+"` |") {
+				t.Errorf("field %s of %T is not on the page", name, v)
+			}
+		}
+	}
+}
