--- a/core/document.go
+++ b/core/document.go
@@ -107,9 +107,12 @@
 // Service declares a long-running service with a number of replicas in each
 // data centre that is listed, or in all when none is.
 type Service struct {
-	Name        string
-	Kind        KindName
-	Replicas    int
+	Name     string
+	Kind     KindName
+	Replicas int
+	// Payload is handed to the worker with each start. Only the worker reads
+	// it.
+	Payload     string
 	DataCentres []DataCentre
 }
 
--- a/core/feasible.go
+++ b/core/feasible.go
@@ -15,6 +15,8 @@
 	job  JobID
 	// avoid lists workers on which the task has failed.
 	avoid []WorkerID
+	// endsBy is when the task is expected to have ended.
+	endsBy Time
 }
 
 // feasible collects up to candidates workers that satisfy c, starting the search
@@ -36,7 +38,7 @@
 
 // allows applies the filters that the index does not cover.
 func (c *constraint) allows(w *worker) bool {
-	if w.reservedBy != "" && w.reservedBy != c.job {
+	if w.reservedBy != "" && w.reservedBy != c.job && c.endsBy >= w.roomAt {
 		return false
 	}
 	for _, id := range c.avoid {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -39,6 +39,9 @@
 	slot int
 	// reservedBy is the job that room is being gathered for, or empty.
 	reservedBy JobID
+	// roomAt is when the room for that job is expected. Other work may use
+	// the worker if it ends by then.
+	roomAt Time
 }
 
 // taskKey names a task regardless of its attempt.
--- a/core/grants.go
+++ b/core/grants.go
@@ -223,7 +223,7 @@
 		return false
 	}
 	id := JobID("grant:" + string(t.name) + "/" + string(k.Name))
-	w := r.fleet.pick(&constraint{need: k.Request, job: id})
+	w := r.fleet.pick(&constraint{need: k.Request, job: id, endsBy: r.now.Add(k.Deadline)})
 	if w == nil {
 		if entitled && r.reserve.of(id) == nil {
 			c := claim{id: id, team: t, urgency: Interactive, need: k.Request}
--- a/core/reserve.go
+++ b/core/reserve.go
@@ -18,6 +18,8 @@
 	maxReservations = 2
 	// reserveShare bounds the workers reserved for one job.
 	reserveShare = 0.25
+	// medianPercentile is the run time that half of all tasks end within.
+	medianPercentile = 50
 )
 
 // reservation keeps workers free of other new work until a job fits.
@@ -58,7 +60,7 @@
 	s.list = slices.DeleteFunc(s.list, func(o *reservation) bool { return o == v })
 	for _, w := range v.workers {
 		if w.reservedBy == id {
-			w.reservedBy = ""
+			w.reservedBy, w.roomAt = "", 0
 		}
 	}
 	r.fleet.released++
@@ -91,10 +93,43 @@
 	if len(workers) == 0 {
 		return
 	}
+	for _, w := range workers {
+		w.roomAt = r.expectedRoom(w, j.kind.Request)
+	}
 	r.reserve.add(&reservation{job: j.spec.ID, workers: workers, until: r.now.Add(reserveTime)})
 	r.jobs.note(j, r.now, "gathering room", workers[0].id)
 }
 
+// expectedRoom is when w is expected to have room for need, by the run times that
+// its tasks' kinds were seen to take. It bounds backfill alone: a wrong figure
+// delays the job, but never lets w hold more than it has.
+func (r *Reducer) expectedRoom(w *worker, need Resources) Time {
+	type ending struct {
+		at   Time
+		held Resources
+	}
+	var ends []ending
+	for _, p := range w.sorted() {
+		at := r.now
+		if p.task.state == taskRunning {
+			at = p.task.started
+		}
+		ends = append(ends, ending{at.Add(r.kinds.runTime(p.job, medianPercentile)), p.task.held})
+	}
+	slices.SortStableFunc(ends, func(a, b ending) int { return cmp.Compare(a.at, b.at) })
+	free := w.free()
+	for _, e := range ends {
+		if need.Fits(free) {
+			break
+		}
+		free = free.Add(e.held)
+		if need.Fits(free) {
+			return max(e.at, r.now)
+		}
+	}
+	return r.now
+}
+
 // othersEntitled reports whether another queue has a head within its quota.
 func (r *Reducer) othersEntitled(k *kindQueue) bool {
 	for _, o := range r.queues.busy {
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -9,6 +9,9 @@
 	// startWindow is how long a worker may take a start. Later the worker
 	// refuses it, which is a true "not run".
 	startWindow = 10 * time.Second
+	// backfillPercentile of the run times seen must fit before the room that
+	// is gathered for another job is expected.
+	backfillPercentile = 95
 	// startResend is the wait before a start without an answer is sent again
 	// under the same attempt, which a worker starts only once.
 	startResend = 2 * time.Second
@@ -86,7 +89,10 @@
 
 // pickWorker filters and ranks workers for one task.
 func (r *Reducer) pickWorker(j *job, t *task) *worker {
-	c := constraint{need: j.kind.Request, job: j.spec.ID, avoid: t.failedOn}
+	c := constraint{
+		need: j.kind.Request, job: j.spec.ID, avoid: t.failedOn,
+		endsBy: r.now.Add(r.kinds.runTime(j, backfillPercentile)),
+	}
 	if !c.need.Fits(r.fleet.index.largest()) {
 		return nil
 	}
--- a/core/service.go
+++ b/core/service.go
@@ -77,7 +77,7 @@
 		j := have[id]
 		delete(have, id)
 		if j == nil {
-			j = r.addReplica(key, id, kind)
+			j = r.addReplica(key, id, s, kind)
 			running = append(running, j)
 		}
 		if j.state != JobRunning {
@@ -91,14 +91,15 @@
 		}
 	}
 	if down == 0 {
-		r.replaceOne(running, kind)
+		r.replaceOne(running, s, kind)
 	}
 }
 
 // addReplica creates a replica. Until every worker has answered the current
 // epoch it may already run somewhere.
-func (r *Reducer) addReplica(key serviceKey, id JobID, kind *Kind) *job {
-	j := r.newJob(JobSpec{ID: id, Team: key.team, Kind: kind.Name, Submitted: r.now}, kind)
+func (r *Reducer) addReplica(key serviceKey, id JobID, s *Service, kind *Kind) *job {
+	spec := JobSpec{ID: id, Team: key.team, Kind: kind.Name, Payload: []byte(s.Payload), Submitted: r.now}
+	j := r.newJob(spec, kind)
 	j.tasks = j.tasks[:1]
 	j.service = key.service
 	r.jobs.add(j)
@@ -126,20 +127,19 @@
 
 // replaceOne restarts one replica whose kind has changed since it started. The
 // next one follows when all replicas run again.
-func (r *Reducer) replaceOne(running []*job, kind *Kind) {
+func (r *Reducer) replaceOne(running []*job, s *Service, kind *Kind) {
 	for _, j := range running {
-		if j.kind == kind || sameRun(j.kind, kind) || j.cancelled {
+		same := j.kind.Name == kind.Name && j.kind.Request == kind.Request &&
+			string(j.spec.Payload) == s.Payload
+		if same || j.cancelled {
 			continue
 		}
-		j.kind = kind
+		j.kind, j.spec.Payload = kind, []byte(s.Payload)
 		r.stopTasks(j)
 		return
 	}
 }
 
-// sameRun reports whether a replica of kind a needs no restart to be one of b.
-func sameRun(a, b *Kind) bool { return a.Request == b.Request && a.Name == b.Name }
-
 // onKindsChanged makes waiting jobs follow the documents in force.
 func (r *Reducer) onKindsChanged() {
 	if !r.owner.active() {
--- a/ctl/client.go
+++ b/ctl/client.go
@@ -23,7 +23,7 @@
 
 // Client sends requests to entry hosts.
 type Client struct {
-	// Entry lists addresses such as 10.0.0.1:7400. The next one is tried only
+	// Entry lists addresses such as 10.0.0.1:7600. The next one is tried only
 	// if a request surely did not reach the one before.
 	Entry []string
 	// Timeout bounds each request, in addition to the wait that a request
--- a/ctl/client_test.go
+++ b/ctl/client_test.go
@@ -119,7 +119,7 @@
 	t.Setenv("BANYANCTL_ENTRY", "127.0.0.1:1,nowhere")
 	var stdout, stderr bytes.Buffer
 	exit := Main(context.Background(), []string{"hosts"}, nil, &stdout, &stderr)
-	const want = "setting --entry (BANYANCTL_ENTRY): \"nowhere\" is not allowed; allowed: an IP address and a port, such as 127.0.0.1:7400\n"
+	const want = "setting --entry (BANYANCTL_ENTRY): \"nowhere\" is not allowed; allowed: an IP address and a port, such as 127.0.0.1:7600\n"
 	if exit != ExitUsage || stderr.String() != want {
 		t.Errorf("exit code %d, %q", exit, stderr.String())
 	}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -263,7 +263,7 @@
 	capacity := core.Resources{MilliCPU: 32000, MemoryMB: 131072, Accelerators: 2, Slots: 8, Connections: 64}
 	assigned := core.Resources{MilliCPU: 2250, MemoryMB: 4096, Slots: 3}
 	hosts := wire.FromHostViews([]core.HostView{
-		{ID: "h1", Address: "127.0.0.1:7400", DataCentre: "dc-a", Region: "north", Owner: true, Epoch: 4},
+		{ID: "h1", Address: "127.0.0.1:7600", DataCentre: "dc-a", Region: "north", Owner: true, Epoch: 4},
 		{ID: "h2", Address: "127.0.0.1:7401", DataCentre: "dc-a", Region: "north", HeartbeatAge: 350 * time.Millisecond, Draining: true},
 		{ID: "h3", HeartbeatAge: -1},
 	})
--- a/ctl/settings.go
+++ b/ctl/settings.go
@@ -25,7 +25,7 @@
 // Settings are the flags of every command. Each flag has an environment
 // variable.
 type Settings struct {
-	Entry   []string      `long:"entry" env:"BANYANCTL_ENTRY" env-delim:"," default:"127.0.0.1:7400" value-name:"IP:PORT" description:"entry host; may be repeated, the next one is tried if one cannot be reached"`
+	Entry   []string      `long:"entry" env:"BANYANCTL_ENTRY" env-delim:"," default:"127.0.0.1:7600" value-name:"IP:PORT" description:"entry host; may be repeated, the next one is tried if one cannot be reached"`
 	Timeout time.Duration `long:"timeout" env:"BANYANCTL_TIMEOUT" default:"10s" value-name:"DURATION" description:"bound for each request"`
 	JSON    bool          `long:"json" env:"BANYANCTL_JSON" description:"print JSON instead of tables"`
 }
@@ -46,7 +46,7 @@
 func (s *Settings) check() error {
 	for _, entry := range s.Entry {
 		if addr, err := netip.ParseAddrPort(entry); err != nil || addr.Port() == 0 {
-			return &settingError{"--entry (BANYANCTL_ENTRY)", entry, "an IP address and a port, such as 127.0.0.1:7400"}
+			return &settingError{"--entry (BANYANCTL_ENTRY)", entry, "an IP address and a port, such as 127.0.0.1:7600"}
 		}
 	}
 	return checkDuration("--timeout (BANYANCTL_TIMEOUT)", s.Timeout, minTimeout, maxTimeout)
--- a/document/decode.go
+++ b/document/decode.go
@@ -152,6 +152,7 @@
 		field{"name", true, text(r, &s.Name)},
 		field{"kind", true, text(r, &s.Kind)},
 		field{"replicas", true, whole(r, &s.Replicas)},
+		field{"payload", false, text(r, &s.Payload)},
 		field{"data_centres", false, texts(r, &s.DataCentres)},
 	)
 	return s
--- a/document/doc.go
+++ b/document/doc.go
@@ -72,6 +72,7 @@
 	Name        string            `json:"name"`
 	Kind        core.KindName     `json:"kind"`
 	Replicas    int               `json:"replicas"`
+	Payload     string            `json:"payload,omitempty"`
 	DataCentres []core.DataCentre `json:"data_centres,omitempty"`
 }
 
--- a/entry/pending.go
+++ b/entry/pending.go
@@ -47,10 +47,3 @@
 	default:
 	}
 }
-
-// count returns the number of open requests.
-func (p *pending) count() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.waiting)
-}
