Read the users' topology files in the stand-in

The stand-in had a topology form of its own, so the files in examples/ and those that banyanctl validate reads could not start it. ParseTopology now reads the shared form and names racks and workers as banyanctl does. Topology stays the Go form, which can mix worker sizes in a data centre.

--- a/cmd/banyanrun-entry/main.go
+++ b/cmd/banyanrun-entry/main.go
@@ -24,6 +24,8 @@
 type settings struct {
 	entry.Settings
 	Embedded bool `long:"embedded" env:"BANYANRUN_EMBEDDED" description:"run the platform and workers in this process, for a first try on one machine"`
+	// The address is fixed by default, so that the workers' ledger can be read.
+	EmbeddedPlatform string `long:"embedded-platform" env:"BANYANRUN_EMBEDDED_PLATFORM" default:"127.0.0.1:7400" description:"ip:port of the embedded platform and of its administration"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -48,7 +50,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if set.Embedded {
-		platform, err := embedded.Start(&set.Settings)
+		platform, err := embedded.Start(&set.Settings, set.EmbeddedPlatform)
 		if err != nil {
 			log.Error().Err(err).Msg("embedded platform did not start")
 			return 1
--- a/cmd/banyanrun-standin/settings.go
+++ b/cmd/banyanrun-standin/settings.go
@@ -19,7 +19,7 @@
 	Listen         string        `long:"listen" env:"BANYANRUN_STANDIN_LISTEN" default:"127.0.0.1:7400" description:"ip:port of the store, the host list and the administration"`
 	WorkerIP       string        `long:"worker-ip" env:"BANYANRUN_STANDIN_WORKER_IP" default:"127.0.0.1" description:"IP address of the workers"`
 	WorkerBasePort int           `long:"worker-base-port" env:"BANYANRUN_STANDIN_WORKER_BASE_PORT" default:"21000" description:"port of the first worker; 0 picks free ports"`
-	Topology       string        `long:"topology" env:"BANYANRUN_STANDIN_TOPOLOGY" description:"JSON file of data centres, racks and workers; without it three data centres of 16 workers"`
+	Topology       string        `long:"topology" env:"BANYANRUN_STANDIN_TOPOLOGY" description:"topology file, such as examples/steinbruch/topology.json; without it three data centres of 16 workers"`
 	Hosts          []string      `long:"host" env:"BANYANRUN_STANDIN_HOSTS" env-delim:";" description:"entry host as id,ip:port,data centre,region; repeatable"`
 	ReadRate       float64       `long:"read-rate" env:"BANYANRUN_STANDIN_READ_RATE" default:"2000" description:"store reads a second; 0 is unlimited"`
 	WriteRate      float64       `long:"write-rate" env:"BANYANRUN_STANDIN_WRITE_RATE" default:"400" description:"store writes a second; 0 is unlimited"`
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -19,9 +19,11 @@
 // workersOf is the number of workers of each size, two racks of eight.
 const workersOf = 8
 
-// Start starts a platform with one data centre that has workers of the sizes of
-// both deployments, and points the settings at it.
-func Start(set *entry.Settings) (*standin.Server, error) {
+// Start starts a platform that listens on address, with one data centre that has
+// workers of the sizes of both deployments, and points the settings at it. The
+// stand-in's administration, which shows the workers' ledger, has the same
+// address.
+func Start(set *entry.Settings, address string) (*standin.Server, error) {
 	if set.Host == "" {
 		set.Host = defaultHost
 	}
@@ -29,7 +31,7 @@
 		set.DataCentre = defaultDataCentre
 	}
 	server, err := standin.Start(standin.Config{
-		Topology: topology(set.DataCentre),
+		Topology: topology(set.DataCentre), StoreAddress: address,
 		Hosts: []wire.ListedHost{{
 			ID: set.Host, Address: set.Listen, DataCentre: set.DataCentre, Region: set.DataCentre,
 		}},
--- a/standin/topology.go
+++ b/standin/topology.go
@@ -1,37 +1,36 @@
 package standin
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 
 	"banyanrun.example/banyanrun/wire"
 )
 
-// Topology lists the workers of a stand-in by place.
+// Topology lists the workers of a stand-in by place. ParseTopology reads it from a
+// file, whose form is simpler.
 type Topology struct {
-	DataCentres []DataCentre `json:"data_centres"`
+	DataCentres []DataCentre
 }
 
 // DataCentre is one data centre.
 type DataCentre struct {
-	Name   string `json:"name"`
-	Region string `json:"region"`
-	Racks  []Rack `json:"racks"`
+	Name   string
+	Region string
+	Racks  []Rack
 }
 
 // Rack is one rack of a data centre.
 type Rack struct {
-	Name    string        `json:"name"`
-	Workers []WorkerGroup `json:"workers"`
+	Name    string
+	Workers []WorkerGroup
 }
 
 // WorkerGroup is a number of equal workers. With a count above one the ids are
 // <id>-1, <id>-2 and so on.
 type WorkerGroup struct {
-	ID       string         `json:"id"`
-	Count    int            `json:"count"`
-	Capacity wire.Resources `json:"capacity"`
+	ID       string
+	Count    int
+	Capacity wire.Resources
 }
 
 // DefaultTopology has three data centres in regions of their own, with two racks
@@ -52,18 +51,6 @@
 	return t
 }
 
-// ParseTopology decodes a topology file. Unknown fields are errors.
-func ParseTopology(data []byte) (Topology, error) {
-	var t Topology
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&t); err != nil {
-		return t, fmt.Errorf("decode topology: %w", err)
-	}
-	_, err := t.workers()
-	return t, err
-}
-
 // workers lists all workers, without addresses.
 func (t Topology) workers() ([]wire.ListedWorker, error) {
 	var list []wire.ListedWorker
