Adapt the concurrent calls of a worker to its answer times

Cause: workers enforce no limit of their own, and a fixed number of grants lets calls queue inside a worker that has become slow. Change: a limit per worker and kind grows while answers stay near the fastest mean and shrinks when they take more than twice as long; grants respect it. Finished calls of other hosts count once, and a document's history is bounded by size as well as by number.

--- a/core/documents.go
+++ b/core/documents.go
@@ -16,6 +16,9 @@
 	maxRecent = 64
 	// maxHistory is how many earlier versions a document's value holds.
 	maxHistory = 16
+	// maxHistoryBytes bounds the document and its history together, below
+	// the store's limit of 1 MiB with its base64 form.
+	maxHistoryBytes = 700 << 10
 	// documentPrefix is the prefix of the documents' keys.
 	documentPrefix = "documents/"
 )
@@ -230,12 +233,34 @@
 	if e.base != 0 {
 		next.History = append([]DocumentVersion{rec.Current}, rec.History...)
 	}
-	next.History = next.History[:min(len(next.History), maxHistory)]
+	next.History = boundHistory(&next.Current, next.History)
 	op := r.op(PurposeDocumentWrite, a.Op.Key)
 	r.docs.edits[op.Number] = e
 	r.emit(PutValue{Op: op, Key: op.Key, Value: next, IfRevision: int64(e.base)})
 }
 
+// boundHistory keeps as many versions as fit into a value of the store.
+func boundHistory(current *DocumentVersion, history []DocumentVersion) []DocumentVersion {
+	bytes := current.Document.size()
+	for i := range history {
+		bytes += history[i].Document.size()
+		if i == maxHistory || bytes > maxHistoryBytes {
+			return history[:i]
+		}
+	}
+	return history
+}
+
+// size estimates the encoded size of a document.
+func (d *Document) size() int {
+	const base, perKind, perService = 500, 800, 300
+	n := base + perKind*len(d.Kinds) + perService*len(d.Services)
+	for i := range d.Services {
+		n += 2*len(d.Services[i].Payload) + 32*len(d.Services[i].DataCentres)
+	}
+	return n
+}
+
 // onEditWritten answers the operator, or finds out what became of the write.
 func (r *Reducer) onEditWritten(e *edit, a StoreAnswered) {
 	switch a.Outcome {
--- a/core/feasible.go
+++ b/core/feasible.go
@@ -15,6 +15,8 @@
 	job  JobID
 	// avoid lists workers on which the task has failed.
 	avoid []WorkerID
+	// accept, if set, is a further filter.
+	accept func(*worker) bool
 	// endsBy is when the task is expected to have ended.
 	endsBy Time
 }
@@ -46,7 +48,7 @@
 			return false
 		}
 	}
-	return true
+	return c.accept == nil || c.accept(w)
 }
 
 // rejections counts, for an explanation, the workers that fail each filter.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -34,7 +34,9 @@
 	// orphans are tasks that run there but belong to no known job.
 	orphans map[TaskRef]Resources
 	health  workerHealth
-	sync    syncState
+	// limits bounds the calls of each interactive kind.
+	limits map[queueKey]*callLimit
+	sync   syncState
 	// slot is the worker's place in the capacity index.
 	slot int
 	// reservedBy is the job that room is being gathered for, or empty.
--- a/core/grants.go
+++ b/core/grants.go
@@ -171,8 +171,13 @@
 		if k := r.docs.kind(e.queue.team, e.queue.kind); k == nil || k.Urgency != Interactive {
 			r.setTarget(h, e, 0)
 		}
-		if w := r.fleet.get(e.worker); w == nil || !w.isUsable() {
+		w := r.fleet.get(e.worker)
+		switch {
+		case w == nil || !w.isUsable():
 			r.setTarget(h, e, 0)
+		case e.target > 0 && r.grants.grantsOn(e.queue, w.id) > w.callLimitOf(e.queue).current():
+			// One slot a period, so that the effect is seen before the next.
+			r.setTarget(h, e, e.target-1)
 		}
 	}
 	if h.changed {
@@ -223,7 +228,12 @@
 		return false
 	}
 	id := JobID("grant:" + string(t.name) + "/" + string(k.Name))
-	w := r.fleet.pick(&constraint{need: k.Request, job: id, endsBy: r.now.Add(k.Deadline)})
+	w := r.fleet.pick(&constraint{
+		need: k.Request, job: id, endsBy: r.now.Add(k.Deadline),
+		accept: func(w *worker) bool {
+			return r.grants.grantsOn(key, w.id) < w.callLimitOf(key).current()
+		},
+	})
 	if w == nil {
 		if entitled && r.reserve.of(id) == nil {
 			c := claim{id: id, team: t, urgency: Interactive, need: k.Request}
@@ -287,6 +297,7 @@
 // noteUse takes over a host's report about its grants.
 func (r *Reducer) noteUse(h *hostGrants, version uint64, epoch Epoch, calls []CallReport) {
 	h.heard = r.now
+	r.noteCallResults(calls)
 	if epoch == r.owner.epoch {
 		h.acked = max(h.acked, version)
 	}
--- a/core/grants_local.go
+++ b/core/grants_local.go
@@ -42,25 +42,51 @@
 
 // onCallsReported takes over the own traffic side's report.
 func (r *Reducer) onCallsReported(c CallsReported) {
-	r.grants.localCalls = c.Calls
 	if r.owner.active() {
 		r.noteUse(r.grants.of(r.cfg.Host), c.Version, c.Epoch, c.Calls)
-		r.noteCallResults(c.Calls)
 		return
 	}
+	r.grants.localCalls = addCalls(r.grants.localCalls, c.Calls)
 	r.grants.localAck, r.grants.ackEpoch = c.Version, c.Epoch
 	if slices.ContainsFunc(c.Calls, func(o CallReport) bool { return o.Waiting > 0 }) {
 		r.peers.nextBeat = min(r.peers.nextBeat, r.now)
 	}
 }
 
-// noteCallResults counts the outcomes of calls towards the health of workers.
-func (r *Reducer) noteCallResults(calls []CallReport) {
-	for _, c := range calls {
-		if w := r.fleet.get(c.Worker); w != nil && c.Finished > 0 {
-			r.noteSuccess(w)
+// addCalls merges a report into what was not sent to the owner yet. Use is taken
+// from the newer report; finished calls add up.
+func addCalls(unsent, fresh []CallReport) []CallReport {
+	type key struct {
+		queue  queueKey
+		worker WorkerID
+	}
+	index := map[key]int{}
+	out := append([]CallReport(nil), fresh...)
+	for i, c := range out {
+		index[key{queueKey{c.Team, c.Kind}, c.Worker}] = i
+	}
+	for _, c := range unsent {
+		i, ok := index[key{queueKey{c.Team, c.Kind}, c.Worker}]
+		if !ok {
+			if c.InUse = 0; c.Finished+c.Failed > 0 {
+				out = append(out, c)
+			}
+			continue
 		}
+		out[i].Finished += c.Finished
+		out[i].Failed += c.Failed
+		out[i].Latency += c.Latency
 	}
+	return out
+}
+
+// clearFinished drops the finished calls from a report that was sent.
+func clearFinished(calls []CallReport) []CallReport {
+	out := append([]CallReport(nil), calls...)
+	for i := range out {
+		out[i].Finished, out[i].Failed, out[i].Latency = 0, 0, 0
+	}
+	return out
 }
 
 // onGrantsFromOwner puts grants of the owner in force on this host.
--- /dev/null
+++ b/core/limit.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// limitFirst is the limit of a worker of which no answer time is known.
+	limitFirst = 8
+	// limitLeast and limitMost bound the limit.
+	limitLeast = 1
+	limitMost  = 1024
+	// limitTolerance is how much slower than the fastest mean answers may get
+	// before the limit shrinks.
+	limitTolerance = 2.0
+	// limitSmoothing is the weight of a new limit in the average.
+	limitSmoothing = 0.2
+	// baseDrift lets the fastest mean rise slowly, so that work that has
+	// become slower for good does not shrink the limit for ever.
+	baseDrift = 1.002
+)
+
+// callLimit adapts the number of concurrent calls of one kind at one worker to
+// its answer times. Slower answers at the same load mean that calls wait for each
+// other at the worker; the limit then shrinks until they do not.
+type callLimit struct {
+	limit float64
+	base  time.Duration
+}
+
+// observe takes the mean answer time of calls that finished while inUse calls
+// were in progress.
+func (l *callLimit) observe(mean time.Duration, inUse int) {
+	if mean <= 0 {
+		return
+	}
+	if l.limit == 0 {
+		l.limit, l.base = limitFirst, mean
+	}
+	l.base = min(mean, time.Duration(float64(l.base)*baseDrift)+1)
+	gradient := min(1, limitTolerance*float64(l.base)/float64(mean))
+	if gradient == 1 && float64(inUse) < l.limit/2 {
+		return // The limit is not what holds the load back.
+	}
+	next := l.limit*max(0.5, gradient) + math.Sqrt(l.limit)*gradient*0.5
+	l.limit += limitSmoothing * (next - l.limit)
+	l.limit = min(max(l.limit, limitLeast), limitMost)
+}
+
+// current is the limit in whole calls.
+func (l *callLimit) current() int {
+	if l.limit == 0 {
+		return limitFirst
+	}
+	return int(l.limit)
+}
+
+// callLimitOf returns the limit of a kind at a worker, creating it.
+func (w *worker) callLimitOf(key queueKey) *callLimit {
+	l := w.limits[key]
+	if l == nil {
+		if w.limits == nil {
+			w.limits = map[queueKey]*callLimit{}
+		}
+		l = &callLimit{}
+		w.limits[key] = l
+	}
+	return l
+}
+
+// noteCallResults learns from finished calls.
+func (r *Reducer) noteCallResults(calls []CallReport) {
+	for _, c := range calls {
+		w := r.fleet.get(c.Worker)
+		if w == nil || c.Finished == 0 {
+			continue
+		}
+		r.noteSuccess(w)
+		l := w.callLimitOf(queueKey{c.Team, c.Kind})
+		l.observe(c.Latency/time.Duration(c.Finished), c.InUse+c.Finished)
+	}
+}
+
+// grantsOn is how many calls of a kind all hosts together may make at a worker.
+func (g *grantTable) grantsOn(key queueKey, w WorkerID) int {
+	n := 0
+	for _, h := range g.hosts {
+		for _, e := range h.entries {
+			if e.queue == key && e.worker == w {
+				n += e.target
+			}
+		}
+	}
+	return n
+}
--- a/core/peers.go
+++ b/core/peers.go
@@ -146,6 +146,9 @@
 	if !o.active() {
 		hb.Acknowledged, hb.AckEpoch = r.grants.localAck, r.grants.ackEpoch
 		hb.Calls = r.grants.localCalls
+		if p.host.ID == o.ownerHost {
+			r.grants.localCalls = clearFinished(hb.Calls)
+		}
 		return hb
 	}
 	hb.Owner, hb.Epoch = true, o.epoch
