Serve interactive calls from another data centre when none here can

Cause: a data centre without a usable worker let interactive requests wait for their whole deadline, while others were idle. Change: the owner tells its hosts which data centres can serve calls while it has no usable worker; the call's plan passes the request on once, and a failed forward follows the same verdict rules as an attempt.

--- a/core/callplan.go
+++ b/core/callplan.go
@@ -17,6 +17,8 @@
 const (
 	// CallTry takes a slot and makes an attempt after Wait.
 	CallTry CallAct = iota
+	// CallForward passes the request on to a host of another data centre.
+	CallForward
 	// CallRefuse answers the caller with the refusal.
 	CallRefuse
 )
@@ -27,6 +29,7 @@
 	Wait    time.Duration
 	Attempt int
 	Avoid   []WorkerID
+	Address string
 	Refusal *Refusal
 }
 
@@ -57,8 +60,24 @@
 	Jitter float64
 }
 
-// First returns the first step.
-func (p *CallPlan) First() CallStep { return p.try(0) }
+// First returns the first step. While this data centre has no usable worker,
+// elsewhere is the address of a host of another one, unless another host has
+// already passed the request on.
+func (p *CallPlan) First(elsewhere string) CallStep {
+	if elsewhere != "" {
+		return CallStep{Act: CallForward, Address: elsewhere}
+	}
+	return p.try(0)
+}
+
+// ForwardFailed decides what follows a forwarded request without an answer.
+func (p *CallPlan) ForwardFailed(v Verdict) CallStep {
+	p.worst = max(p.worst, v)
+	if v.Retryable(p.Rules.Idempotent) {
+		return p.try(0)
+	}
+	return p.refuse(ReasonPeer, "another data centre gave no whole answer")
+}
 
 // Deadline is the time at which the caller is answered in any case.
 func (p *CallPlan) Deadline() Time { return p.Began.Add(p.Rules.Deadline) }
--- a/core/effect.go
+++ b/core/effect.go
@@ -124,6 +124,9 @@
 		Grants  []Grant
 		// Expires is when the grants end unless they are renewed.
 		Expires Time
+		// Elsewhere lists hosts of other data centres that can serve calls. It
+		// is set while this data centre has no usable worker.
+		Elsewhere []string
 		// Kinds gives the traffic side the rules of interactive kinds.
 		Kinds []InteractiveKind
 	}
--- a/core/grants.go
+++ b/core/grants.go
@@ -88,6 +88,7 @@
 	localEpoch Epoch
 	localVer   uint64
 	localUntil Time
+	elsewhere  []string
 	localRenew Time
 	localCalls []CallReport
 	localAck   uint64
--- a/core/grants_local.go
+++ b/core/grants_local.go
@@ -10,6 +10,7 @@
 		return
 	}
 	g.localRenew = r.now.Add(localGrantRenew)
+	g.elsewhere = r.elsewhere()
 	r.emitGrants(h.version, r.owner.epoch, h.list(&r.fleet), r.now.Add(r.cfg.GrantFor))
 }
 
@@ -19,6 +20,7 @@
 	g.localVer, g.localEpoch, g.local, g.localUntil = version, epoch, grants, until
 	r.emit(SetGrants{
 		Version: version, Epoch: epoch, Grants: grants, Expires: until, Kinds: r.interactiveKinds(),
+		Elsewhere: g.elsewhere,
 	})
 }
 
@@ -93,6 +95,7 @@
 func (r *Reducer) onGrantsFromOwner(hb *Heartbeat) {
 	g := &r.grants
 	until := r.now.Add(hb.GrantFor)
+	g.elsewhere = hb.Elsewhere
 	if hb.GrantVersion == g.localVer && hb.Epoch == g.localEpoch {
 		r.emitGrants(g.localVer, g.localEpoch, g.local, until)
 		return
--- a/core/member.go
+++ b/core/member.go
@@ -25,6 +25,9 @@
 	// Heartbeats of an unchanged version leave the list out.
 	GrantsWhole bool
 	GrantFor    time.Duration
+	// Elsewhere is set while the data centre has no usable worker, see
+	// SetGrants.
+	Elsewhere []string
 	// Calls is the sender's use of grants and its waiting requests.
 	Calls []CallReport
 	// DocumentDigest is a digest over the revisions that the sender has in
--- a/core/peers.go
+++ b/core/peers.go
@@ -154,7 +154,7 @@
 	hb.Owner, hb.Epoch = true, o.epoch
 	hb.Standby, hb.StandbyEpoch = o.standby, o.standbyEpoch
 	h := r.grants.of(p.host.ID)
-	hb.GrantVersion, hb.GrantFor = h.version, r.cfg.GrantFor
+	hb.GrantVersion, hb.GrantFor, hb.Elsewhere = h.version, r.cfg.GrantFor, r.elsewhere()
 	if h.version != h.acked || r.now.Sub(p.heard) > peerSilence {
 		hb.Grants, hb.GrantsWhole = h.list(&r.fleet), true
 	}
--- a/core/pool.go
+++ b/core/pool.go
@@ -12,6 +12,8 @@
 	epoch   Epoch
 	expires Time
 	kinds   map[queueKey]*poolKind
+	// elsewhere lists hosts of other data centres, see SetGrants.
+	elsewhere []string
 	// order lists the keys of kinds in the order of their first appearance.
 	order []queueKey
 }
@@ -60,7 +62,7 @@
 // Set replaces the grants. Calls in progress keep their slot until they end,
 // also if it is no longer granted.
 func (p *GrantPool) Set(s SetGrants) {
-	p.version, p.epoch, p.expires = s.Version, s.Epoch, s.Expires
+	p.version, p.epoch, p.expires, p.elsewhere = s.Version, s.Epoch, s.Expires, s.Elsewhere
 	for _, key := range p.order {
 		k := p.kinds[key]
 		k.known = false
@@ -105,6 +107,15 @@
 	return k.rules, true
 }
 
+// Elsewhere returns a host of another data centre that can serve calls, while
+// this data centre cannot.
+func (p *GrantPool) Elsewhere() string {
+	if len(p.elsewhere) == 0 {
+		return ""
+	}
+	return p.elsewhere[0]
+}
+
 // Take uses a free slot, on a worker not in avoid if there is one.
 func (p *GrantPool) Take(now Time, team TeamName, kind KindName, avoid []WorkerID) (Ticket, bool) {
 	k := p.kinds[queueKey{team, kind}]
--- a/core/route.go
+++ b/core/route.go
@@ -82,3 +82,22 @@
 	limit := kind.StartWithin
 	return kind.CrossRegion && limit > 0 && here > limit && there+roundTripFar < limit
 }
+
+// elsewhere lists the owners of other data centres for interactive calls while
+// no worker here is usable, those of the own region first.
+func (r *Reducer) elsewhere() []string {
+	if !r.fleet.index.largest().Negative() {
+		return nil
+	}
+	var near, far []string
+	for _, m := range r.peers.remotes {
+		switch {
+		case r.now.Sub(m.heard) > remoteSilence || m.summary.Largest.Negative():
+		case m.summary.Region == r.cfg.Region:
+			near = append(near, m.summary.Address)
+		default:
+			far = append(far, m.summary.Address)
+		}
+	}
+	return append(near, far...)
+}
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -43,10 +43,19 @@
 	plan := &core.CallPlan{Rules: rules, Began: d.clock.now()}
 	ctx, cancel := context.WithTimeout(r.Context(), rules.Deadline)
 	defer cancel()
-	answer, worker, ref := d.runCall(ctx, plan, upstream.Call{
+	w.Header().Set(wire.HeaderRequestID, id)
+	step := plan.First(d.elsewhere(r))
+	if step.Act == core.CallForward {
+		o := &original{method: r.Method, path: r.URL.RequestURI(), body: body, requestID: id}
+		done, verdict := d.forward(ctx, w, o, core.Forward{Address: step.Address})
+		if done {
+			return
+		}
+		step = plan.ForwardFailed(verdict)
+	}
+	answer, worker, ref := d.runCall(ctx, plan, step, upstream.Call{
 		RequestID: id, Team: team, Kind: kind, Body: body, Progress: rules.ProgressTimeout,
 	})
-	w.Header().Set(wire.HeaderRequestID, id)
 	if ref != nil {
 		d.count(core.Count{Metric: core.MetricRefusals, Reason: ref.Reason, Team: team, Kind: kind, Add: 1})
 		writeRefusal(w, ref)
@@ -55,9 +64,17 @@
 	writeAnswer(w, answer, worker)
 }
 
+// elsewhere returns a host of another data centre if this one has no usable
+// worker. A request that was passed on once stays here.
+func (d *Daemon) elsewhere(r *http.Request) string {
+	if isForwarded(r) {
+		return ""
+	}
+	return d.grants.Elsewhere()
+}
+
 // runCall carries out the steps of a call's plan.
-func (d *Daemon) runCall(ctx context.Context, plan *core.CallPlan, c upstream.Call) (*upstream.Answer, core.WorkerID, *core.Refusal) {
-	step := plan.First()
+func (d *Daemon) runCall(ctx context.Context, plan *core.CallPlan, step core.CallStep, c upstream.Call) (*upstream.Answer, core.WorkerID, *core.Refusal) {
 	for step.Act == core.CallTry {
 		if !sleep(ctx, step.Wait) {
 			step = plan.NoSlot(core.ReasonDeadline)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -108,6 +108,9 @@
 	}
 	req.Header.Set(wire.HeaderForwarded, d.set.Host)
 	req.Header.Set("Content-Type", "application/json")
+	if o.requestID != "" {
+		req.Header.Set(wire.HeaderRequestID, o.requestID)
+	}
 	resp, err := d.peers.Do(req)
 	if err != nil {
 		return false, dialVerdict(err)
@@ -120,7 +123,7 @@
 	if resp.Header.Get(wire.HeaderReason) == string(core.ReasonNoOwner) {
 		return false, core.NotRun // It is no longer the owner.
 	}
-	for _, name := range []string{"Content-Type", "Retry-After", wire.HeaderVerdict, wire.HeaderReason} {
+	for _, name := range []string{"Content-Type", "Retry-After", wire.HeaderVerdict, wire.HeaderReason, wire.HeaderDigest, wire.HeaderWorker} {
 		if v := resp.Header.Get(name); v != "" {
 			w.Header().Set(name, v)
 		}
--- a/entry/request.go
+++ b/entry/request.go
@@ -26,6 +26,8 @@
 	method string
 	path   string
 	body   []byte
+	// requestID is set for interactive requests.
+	requestID string
 }
 
 // isForwarded reports whether another entry host passed the request on.
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -50,6 +50,14 @@
 	return p.state.Rules(team, kind)
 }
 
+// Elsewhere returns a host of another data centre for calls that this one cannot
+// serve, or an empty string.
+func (p *Pool) Elsewhere() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.Elsewhere()
+}
+
 // SpendRetry takes one retry from the budget of a kind.
 func (p *Pool) SpendRetry(team core.TeamName, kind core.KindName) bool {
 	p.mu.Lock()
