Retry recovery and read-backs after a wait, and name a new standby

Change: retries wait with jitter; the owner names another standby, with an epoch of its own, while the one in the record is not alive; only the holder of the lease key swaps the record.

--- a/core/journal.go
+++ b/core/journal.go
@@ -33,6 +33,8 @@
 	journalIdle journalPhase = iota
 	journalWriting
 	journalReadingBack
+	// journalReadBackLater waits until retryAt before it reads back again.
+	journalReadBackLater
 )
 
 // writtenGroup is a group in the store.
@@ -113,7 +115,13 @@
 // flushJournal sends the next group if none is in flight and the rate allows it.
 func (r *Reducer) flushJournal() {
 	j := &r.journal
-	if r.owner.role != roleOwner || j.phase != journalIdle || r.now < j.retryAt {
+	if r.owner.role != roleOwner || r.now < j.retryAt {
+		return
+	}
+	if j.phase == journalReadBackLater {
+		r.readBackGroup()
+	}
+	if j.phase != journalIdle {
 		return
 	}
 	j.refill(r.now)
@@ -166,8 +174,7 @@
 	case StoreNotSent:
 		j.phase, j.retryAt = journalIdle, r.now.Add(r.jitter(journalRetry))
 	default:
-		j.phase = journalReadingBack
-		r.emit(GetValue{Op: r.op(PurposeJournalReadBack, key), Key: key})
+		r.readBackGroup()
 	}
 }
 
@@ -188,12 +195,17 @@
 	case a.Outcome == StoreUnreadable:
 		r.stepDown(ReasonConflict)
 	default:
-		key := r.journalKey(j.inFlight.Sequence)
-		j.phase, j.retryAt = journalReadingBack, r.now.Add(r.jitter(journalRetry))
-		r.emit(GetValue{Op: r.op(PurposeJournalReadBack, key), Key: key})
+		j.phase, j.retryAt = journalReadBackLater, r.now.Add(r.jitter(journalRetry))
 	}
 }
 
+// readBackGroup reads the key of the group in flight.
+func (r *Reducer) readBackGroup() {
+	r.journal.phase = journalReadingBack
+	key := r.journalKey(r.journal.inFlight.Sequence)
+	r.emit(GetValue{Op: r.op(PurposeJournalReadBack, key), Key: key})
+}
+
 // commitGroup makes the records of the group in flight durable.
 func (r *Reducer) commitGroup() {
 	j := &r.journal
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -47,8 +47,11 @@
 	leaseMargin = time.Second
 	// claimTimeout ends a claim that got no answer.
 	claimTimeout = 5 * time.Second
-	// epochStep leaves room for the epoch of the standby.
-	epochStep = 2
+	// epochStep leaves room for the epochs of an owner's standbys, each of
+	// which gets one of its own.
+	epochStep = 64
+	// standbyCheck is how often the owner looks whether its standby is alive.
+	standbyCheck = 5 * time.Second
 )
 
 // ownership tracks who owns the data centre's workers.
@@ -61,12 +64,15 @@
 	// record is the latest owner record that was read or written.
 	record         OwnerRecord
 	recordRevision int64
-	lease          LeaseID
+	// update is the record that is being written with another standby.
+	update OwnerRecord
+	lease  LeaseID
 	// renewed is when the last successful renewal was sent.
-	renewed   Time
-	nextRenew Time
-	nextPoll  Time
-	claimed   Time
+	renewed     Time
+	nextRenew   Time
+	nextStandby Time
+	nextPoll    Time
+	claimed     Time
 	// ownerHeard is when a heartbeat of an owner last arrived.
 	ownerHeard   Time
 	ownerHost    HostID
@@ -110,9 +116,12 @@
 	case roleClaiming, roleRecovering:
 		if r.now.Sub(r.owner.claimed) > claimTimeout {
 			r.stepDown(ReasonStoreUnavailable)
+			return
 		}
+		r.tickRecovery()
 	case roleOwner, roleStandby:
 		r.tickLease()
+		r.tickStandby()
 	}
 }
 
@@ -171,6 +180,8 @@
 		r.onLeaseKey(a)
 	case PurposeOwnerSwap:
 		r.onOwnerSwapped(a)
+	case PurposeOwnerUpdate:
+		r.onOwnerUpdated(a)
 	case PurposeLeaseRenew:
 		r.onLeaseRenewed(a)
 	}
@@ -209,6 +220,7 @@
 		// lease holds it until it lapses.
 		if r.owner.active() && a.Outcome == StoreConflict {
 			r.owner.lease = ""
+			r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
 			return
 		}
 		r.abandonClaim()
@@ -230,10 +242,19 @@
 			o.record, o.recordRevision = rec, a.Items[0].Revision
 		}
 	}
+	if o.lease == "" {
+		// Another host holds the lease key. Only a later epoch in the record
+		// says that it has taken over.
+		if o.active() && o.record.Epoch > o.epoch {
+			r.stepDown(ReasonStaleEpoch)
+		}
+		return
+	}
 	mine := o.record.Host == r.cfg.Host && o.record.Incarnation == r.cfg.Incarnation
 	switch {
 	case o.role == roleOwner && mine && o.record.Epoch == o.epoch:
-		return // The lease was lost and is ours again; nobody took over.
+		// The lease was lost and is ours again; nobody took over.
+		o.standby, o.standbyEpoch = o.record.Standby, o.record.StandbyEpoch
 	case o.role == roleOwner:
 		r.stepDown(ReasonStaleEpoch)
 	case o.role == roleClaiming || o.role == roleStandby:
@@ -278,6 +299,42 @@
 	r.startRecovery()
 }
 
+// tickStandby names another standby when the one in the record is not alive. Each
+// gets an epoch that was never given out before.
+func (r *Reducer) tickStandby() {
+	o := &r.owner
+	if o.role != roleOwner || r.now < o.nextStandby || !r.leaseValid() || r.isLivePeer(o.standby) {
+		return
+	}
+	o.nextStandby = r.now.Add(standbyCheck)
+	next := o.record
+	next.Standby, next.StandbyEpoch = r.chooseStandby(), o.record.StandbyEpoch+1
+	if next.Standby == "" || next.StandbyEpoch >= o.epoch+epochStep {
+		return
+	}
+	o.update = next
+	r.emit(PutValue{
+		Op: r.op(PurposeOwnerUpdate, r.cellKey("owner")), Key: r.cellKey("owner"),
+		Value: next, IfRevision: o.recordRevision,
+	})
+}
+
+// onOwnerUpdated takes over the new standby. When the outcome is not certain the
+// record is read back.
+func (r *Reducer) onOwnerUpdated(a StoreAnswered) {
+	o := &r.owner
+	if o.role != roleOwner || o.update.Epoch != o.epoch {
+		return
+	}
+	switch a.Outcome {
+	case StoreOK:
+		o.record, o.recordRevision = o.update, a.Revision
+		o.standby, o.standbyEpoch = o.record.Standby, o.record.StandbyEpoch
+	case StoreConflict, StoreInDoubt:
+		r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
+	}
+}
+
 func (r *Reducer) onLeaseRenewed(a StoreAnswered) {
 	o := &r.owner
 	if string(o.lease) != a.Op.Key {
--- a/core/peers.go
+++ b/core/peers.go
@@ -211,13 +211,19 @@
 // chooseStandby returns the live peer that is to take over without the store.
 func (r *Reducer) chooseStandby() HostID {
 	for _, p := range r.peers.list {
-		if r.now.Sub(p.heard) < peerSilence && !p.last.Draining && !p.host.Leaving {
+		if r.isLivePeer(p.host.ID) {
 			return p.host.ID
 		}
 	}
 	return ""
 }
 
+// isLivePeer reports whether a peer was heard lately and is not about to stop.
+func (r *Reducer) isLivePeer(id HostID) bool {
+	p := r.peers.get(id)
+	return p != nil && p.heard != 0 && r.now.Sub(p.heard) < peerSilence && !r.peers.isDraining(id)
+}
+
 // sendSummaries tells the owners of other data centres what is free here. As
 // long as the owner of a data centre is not known, its hosts are asked in turn.
 func (r *Reducer) sendSummaries() {
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -26,7 +26,7 @@
 			r.finishRecovery()
 			return
 		}
-		r.startRecovery()
+		r.retryRecovery()
 		return
 	}
 	switch a.Outcome {
@@ -36,6 +36,17 @@
 		r.emit(Log{Level: LogError, Message: "journal has a value that this version cannot read"})
 		r.stepDown(ReasonConflict)
 	default:
+		r.retryRecovery()
+	}
+}
+
+// retryRecovery reads the journal again after a wait.
+func (r *Reducer) retryRecovery() { r.journal.retryAt = r.now.Add(r.jitter(journalRetry)) }
+
+// tickRecovery reads the journal again when it is due.
+func (r *Reducer) tickRecovery() {
+	if at := r.journal.retryAt; at != 0 && r.now >= at {
+		r.journal.retryAt = 0
 		r.startRecovery()
 	}
 }
--- a/core/store.go
+++ b/core/store.go
@@ -15,6 +15,7 @@
 	PurposeLeaseGrant
 	PurposeLeaseKey
 	PurposeOwnerSwap
+	PurposeOwnerUpdate
 	PurposeLeaseRenew
 	PurposeLeaseRevoke
 	PurposeJournalWrite
@@ -31,7 +32,7 @@
 )
 
 var purposeNames = [...]string{
-	"owner_read", "lease_grant", "lease_key", "owner_swap", "lease_renew", "lease_revoke",
+	"owner_read", "lease_grant", "lease_key", "owner_swap", "owner_update", "lease_renew", "lease_revoke",
 	"journal_write", "journal_read_back", "journal_load", "journal_open", "journal_delete",
 	"document_read", "document_write", "document_read_back", "document_list",
 	"document_watch", "document_history",
@@ -87,8 +88,8 @@
 	Incarnation uint64
 	Address     string
 	// Standby may take over at epoch StandbyEpoch while the store cannot be
-	// reached. The store's own changes step by two, so that the standby's
-	// epoch is never given out twice.
+	// reached. The store's own changes step by 64, so that the epoch of a
+	// standby is never given out twice.
 	Standby      HostID
 	StandbyEpoch Epoch
 }
