--- a/core/views.go
+++ b/core/views.go
@@ -52,7 +52,10 @@
 		}
 		out = append(out, HostView{
 			ID: p.host.ID, Address: p.host.Address, DataCentre: p.host.DataCentre,
-			Region: p.host.Region, Owner: p.last.Owner, Epoch: p.last.Epoch,
+			Region: p.host.Region, Epoch: p.last.Epoch,
+			// A host that was the owner of an earlier epoch is silent or has
+			// not heard of its successor yet.
+			Owner:        p.last.Owner && p.last.Epoch >= max(o.epoch, o.ownerEpoch),
 			HeartbeatAge: age, Draining: p.last.Draining || p.host.Leaving,
 		})
 	}
