Announce changed kinds to the traffic side at once

A call was refused as unknown_kind after its document had been answered as applied, since the traffic side learned of kinds with the next division of grants only. A host that stepped down forgot all kinds in the same way. Both now tell the traffic side the kinds with the grants in force, so that calls wait for grants.

The prefix of replica ids is exported, so that ledgers can be read with it.

--- a/core/documents.go
+++ b/core/documents.go
@@ -114,6 +114,7 @@
 		return
 	}
 	r.onKindsChanged()
+	r.announceKinds()
 	r.docs.recent = append(r.docs.recent, fresh...)
 	if n := len(r.docs.recent); n > maxRecent {
 		r.docs.recent = append([]DocumentVersion(nil), r.docs.recent[n-maxRecent:]...)
--- a/core/grants_local.go
+++ b/core/grants_local.go
@@ -24,6 +24,14 @@
 	})
 }
 
+// announceKinds tells the traffic side of changed kinds, with the grants in
+// force. Calls of a new kind would otherwise be refused as unknown after the
+// operator was told that the document is in force.
+func (r *Reducer) announceKinds() {
+	g := &r.grants
+	r.emitGrants(g.localVer, g.localEpoch, g.local, g.localUntil)
+}
+
 // interactiveKinds lists the kinds that are served by calls.
 func (r *Reducer) interactiveKinds() []InteractiveKind {
 	var out []InteractiveKind
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -401,7 +401,8 @@
 		t.used, t.queued = Resources{}, 0
 	}
 	r.fleet.forget()
-	r.emit(SetGrants{})
+	// The kinds stay known: calls wait for the next owner's grants.
+	r.announceKinds()
 }
 
 // journalKey is the store key of a journal group.
--- a/core/service.go
+++ b/core/service.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// ServicePrefix begins the id of every replica of a long-running service. It
+// holds a slash, so that no caller's id can begin with it.
+const ServicePrefix = "service/"
+
 // servicePeriod is how often replica counts are compared with the documents.
 const servicePeriod = time.Second
 
@@ -17,7 +21,7 @@
 // replicaID names a replica. It is the same under every owner, so that a new
 // owner recognises the replicas that run.
 func replicaID(key serviceKey, n int) JobID {
-	return JobID("service/" + string(key.team) + "/" + key.service + "/" + strconv.Itoa(n))
+	return JobID(ServicePrefix + string(key.team) + "/" + key.service + "/" + strconv.Itoa(n))
 }
 
 // tickServices keeps the replicas of the long-running services that the
--- /dev/null
+++ b/demo/accounts.go
@@ -0,0 +1,258 @@
+// Package demo submits the example work of a deployment and keeps accounts of
+// what became of it.
+//
+// The accounts are a reducer: Accounts.Step takes what the callers were answered
+// and what the workers' ledger shows, and returns lines to print and the exit
+// code. It never reads what the scheduler says about itself.
+package demo
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+// Work names a job or an interactive request.
+type Work struct {
+	Entry worker.EntryKind
+	ID    string
+	Team  core.TeamName
+	Kind  core.KindName
+}
+
+// Outcome is what a caller was told about its work in the end.
+type Outcome string
+
+// The outcomes.
+const (
+	Completed Outcome = "completed"
+	Failed    Outcome = "failed"
+	Cancelled Outcome = "cancelled"
+	Refused   Outcome = "refused"
+	// Lost is given by the accounts to accepted work without a final answer,
+	// and to work whose answer the ledger contradicts.
+	Lost Outcome = "lost"
+)
+
+// Event is one input of the accounts.
+type Event struct {
+	At   core.Time
+	Body EventBody
+}
+
+// EventBody is one of the event types of this package.
+type EventBody interface{ eventBody() }
+
+// The events.
+type (
+	// Declared is a kind of a document in force.
+	Declared struct {
+		Team       core.TeamName
+		Kind       core.KindName
+		Idempotent bool
+		Tasks      int
+	}
+	// Accepted says that a caller was told that its work is accepted. A call is
+	// accepted when it is sent, since nothing is answered in between.
+	Accepted struct{ Work Work }
+	// Finished is the final answer to a caller.
+	Finished struct {
+		Work    Work
+		Outcome Outcome
+		Verdict core.Verdict
+		Note    string
+	}
+	// Recorded is one entry of the workers' ledger.
+	Recorded struct{ Entry worker.Entry }
+	// Closed asks for the accounts.
+	Closed struct{}
+	// Elapsed says that time has passed. The accounts wait for nothing.
+	Elapsed struct{}
+)
+
+func (Declared) eventBody() {}
+func (Accepted) eventBody() {}
+func (Finished) eventBody() {}
+func (Recorded) eventBody() {}
+func (Closed) eventBody()   {}
+func (Elapsed) eventBody()  {}
+
+// Effect is one of the effect types of this package.
+type Effect interface{ effect() }
+
+// The effects.
+type (
+	// Print prints a line.
+	Print struct{ Line string }
+	// Exit ends the program.
+	Exit struct{ Code int }
+)
+
+func (Print) effect() {}
+func (Exit) effect()  {}
+
+// kindKey names a kind.
+type kindKey struct {
+	team core.TeamName
+	kind core.KindName
+}
+
+// account is what is known about one piece of work.
+type account struct {
+	work     Work
+	accepted bool
+	from, to core.Time
+	final    *Finished
+	entries  []worker.Entry
+}
+
+// Accounts is the reducer.
+type Accounts struct {
+	kinds  map[kindKey]Declared
+	byWork map[Work]*account
+	order  []*account
+	ledger []worker.Entry
+}
+
+// NewAccounts returns empty accounts.
+func NewAccounts() *Accounts {
+	return &Accounts{kinds: map[kindKey]Declared{}, byWork: map[Work]*account{}}
+}
+
+// Step books one event.
+func (a *Accounts) Step(e Event) []Effect {
+	switch b := e.Body.(type) {
+	case Declared:
+		a.kinds[kindKey{b.Team, b.Kind}] = b
+	case Accepted:
+		if acc := a.account(b.Work, e.At); !acc.accepted {
+			acc.accepted = true
+		}
+	case Finished:
+		acc := a.account(b.Work, e.At)
+		acc.final, acc.to = &b, e.At
+	case Recorded:
+		a.ledger = append(a.ledger, b.Entry)
+	case Closed:
+		return a.close()
+	}
+	return nil
+}
+
+// account returns the account of w, and opens it if there is none.
+func (a *Accounts) account(w Work, at core.Time) *account {
+	acc := a.byWork[w]
+	if acc == nil {
+		acc = &account{work: w, from: at}
+		a.byWork[w] = acc
+		a.order = append(a.order, acc)
+	}
+	return acc
+}
+
+// close judges all work and sums up.
+func (a *Accounts) close() []Effect {
+	for _, e := range a.ledger {
+		if acc := a.byWork[Work{e.Entry, e.Job, e.Team, e.Kind}]; acc != nil {
+			acc.entries = append(acc.entries, e)
+		}
+	}
+	var out []Effect
+	counts := map[Outcome]int{}
+	accepted := 0
+	for _, acc := range a.order {
+		outcome, note := a.judge(acc)
+		counts[outcome]++
+		if acc.accepted {
+			accepted++
+		}
+		out = append(out, Print{acc.line(outcome, note)})
+	}
+	out = append(out, a.services()...)
+	doubled, lines := a.doubled()
+	out = append(out, lines...)
+	out = append(out, Print{fmt.Sprintf(
+		"accepted=%d completed=%d refused_not_run=%d cancelled=%d failed=%d lost=%d doubled=%d",
+		accepted, counts[Completed], counts[Refused], counts[Cancelled], counts[Failed], counts[Lost], doubled)})
+	code := 0
+	if counts[Lost] > 0 || doubled > 0 || counts[Completed] == 0 {
+		code = 1
+	}
+	return append(out, Exit{code})
+}
+
+// judge compares the caller's final answer with the ledger.
+func (a *Accounts) judge(acc *account) (Outcome, string) {
+	if acc.final == nil {
+		return Lost, "no final answer"
+	}
+	f := acc.final
+	running := slices.ContainsFunc(acc.entries, func(e worker.Entry) bool { return e.Outcome == worker.OutcomeRunning })
+	switch {
+	case f.Verdict == core.NotRun && len(acc.entries) > 0:
+		return Lost, "answered not_run, but the ledger shows a start"
+	case f.Outcome == Refused && f.Verdict != core.NotRun:
+		return Lost, "refused without a certain verdict: " + f.Note
+	case f.Outcome == Completed && !a.allSucceeded(acc):
+		return Lost, "answered as completed, but the ledger does not show it"
+	case running:
+		return Lost, "ended for its caller, but the ledger shows it running"
+	}
+	return f.Outcome, f.Note
+}
+
+// allSucceeded reports whether the ledger shows every task as succeeded.
+func (a *Accounts) allSucceeded(acc *account) bool {
+	done := map[int]bool{}
+	for _, e := range acc.entries {
+		if e.Outcome == worker.OutcomeSucceeded {
+			done[e.Task] = true
+		}
+	}
+	return len(done) >= max(1, a.kinds[kindKey{acc.work.Team, acc.work.Kind}].Tasks)
+}
+
+// line describes one piece of work.
+func (acc *account) line(outcome Outcome, note string) string {
+	text := fmt.Sprintf("%-4s  %-22s  %-38s  %-9s  starts=%d", acc.work.Entry, acc.work.ID,
+		string(acc.work.Team)+"/"+string(acc.work.Kind), outcome, len(acc.entries))
+	if acc.final != nil && acc.accepted {
+		text += fmt.Sprintf("  after %s", acc.to.Sub(acc.from).Round(time.Millisecond))
+	}
+	if note != "" {
+		text += "  " + note
+	}
+	return text
+}
+
+// services lists the replicas that the ledger shows running.
+func (a *Accounts) services() []Effect {
+	var out []Effect
+	for _, e := range a.ledger {
+		if strings.HasPrefix(e.Job, core.ServicePrefix) && e.Outcome == worker.OutcomeRunning {
+			out = append(out, Print{fmt.Sprintf("%-4s  %-22s  running on %s", "replica", e.Job, e.Worker)})
+		}
+	}
+	return out
+}
+
+// doubled counts what ran twice at one moment and what was started again
+// although its kind is not idempotent.
+func (a *Accounts) doubled() (int, []Effect) {
+	s := worker.Summarize([]worker.Report{{Entries: a.ledger}})
+	var lines []Effect
+	for _, r := range s.Doubled {
+		lines = append(lines, Print{fmt.Sprintf("doubled: %s %s task %d ran twice at one moment", r.Entry, r.Job, r.Task)})
+	}
+	for _, r := range s.Repeated {
+		declared, known := a.kinds[kindKey{r.Team, r.Kind}]
+		if known && !declared.Idempotent && !slices.Contains(s.Doubled, r) {
+			lines = append(lines, Print{fmt.Sprintf("doubled: %s %s is not idempotent and was started %d times", r.Entry, r.Job, r.Starts)})
+		}
+	}
+	return len(lines), lines
+}
--- /dev/null
+++ b/demo/run.go
@@ -0,0 +1,342 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc/iter"
+	"github.com/sourcegraph/conc/pool"
+
+	"banyanrun.example/banyanrun/control"
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/ctl"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
+)
+
+const (
+	// callers is the number of interactive requests in progress.
+	callers = 4
+	// waiters is the number of jobs that are waited for at a time.
+	waiters = 16
+	// polls and pollPause bound the wait for a state of a job.
+	polls     = 200
+	pollPause = 50 * time.Millisecond
+	// elapsedPeriod is of no consequence: the accounts wait for nothing.
+	elapsedPeriod = time.Minute
+	mailbox       = 256
+)
+
+// Config describes a run.
+type Config struct {
+	Entry    string
+	Platform string
+	Examples []*Example
+	// CallSuffix distinguishes the request ids of this run from earlier ones.
+	CallSuffix string
+	Out        io.Writer
+}
+
+// runner performs the requests and posts what came of them.
+type runner struct {
+	cfg      Config
+	entry    client
+	platform client
+	started  time.Time
+	loop     *control.Loop[Event, Effect]
+	exit     chan int
+}
+
+// Run performs the demonstration and returns the exit code. An error says what
+// could not be performed.
+func Run(ctx context.Context, cfg Config) (int, error) {
+	r := &runner{
+		cfg: cfg, entry: newClient(cfg.Entry), platform: newClient(cfg.Platform),
+		started: time.Now(), exit: make(chan int, 1),
+	}
+	accounts := NewAccounts()
+	r.loop = control.New(control.Config[Event, Effect]{
+		Step: accounts.Step, Immediate: r.carryOut, Execute: func(context.Context, Effect) {},
+		Tick: func() Event { return r.at(Elapsed{}) }, Period: elapsedPeriod, Mailbox: mailbox,
+	})
+	looping, stop := context.WithCancel(context.WithoutCancel(ctx))
+	background := pool.New()
+	background.Go(func() { r.loop.Run(looping) })
+	defer background.Wait()
+	defer stop()
+	failed := r.work(ctx)
+	if err := r.readLedger(ctx); err != nil {
+		return 1, errors.Join(failed, fmt.Errorf("read ledger: %w", err))
+	}
+	r.post(Closed{})
+	return <-r.exit, failed
+}
+
+// carryOut performs an effect of the accounts.
+func (r *runner) carryOut(f Effect) bool {
+	switch f := f.(type) {
+	case Print:
+		fmt.Fprintln(r.cfg.Out, f.Line)
+	case Exit:
+		r.exit <- f.Code
+	}
+	return true
+}
+
+func (r *runner) at(body EventBody) Event {
+	return Event{At: core.Time(time.Since(r.started)), Body: body}
+}
+
+func (r *runner) post(body EventBody) { r.loop.Post(context.Background(), r.at(body)) }
+
+// work performs all requests.
+func (r *runner) work(ctx context.Context) error {
+	if err := r.awaitReady(ctx); err != nil {
+		return err
+	}
+	for _, e := range r.cfg.Examples {
+		for _, d := range e.Documents {
+			if err := r.apply(ctx, d); err != nil {
+				return fmt.Errorf("apply document of team %s: %w", d.Team, err)
+			}
+		}
+	}
+	p := pool.New().WithErrors()
+	for _, e := range r.cfg.Examples {
+		p.Go(func() error { return r.jobs(ctx, e) })
+		p.Go(func() error { return r.calls(ctx, e) })
+		p.Go(func() error { return r.cancelRunning(ctx, e) })
+	}
+	if err := p.Wait(); err != nil {
+		return err
+	}
+	for _, e := range r.cfg.Examples {
+		if err := r.crowd(ctx, e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitReady waits until the entry host serves.
+func (r *runner) awaitReady(ctx context.Context) error {
+	for range polls {
+		resp := r.entry.do(ctx, &ctl.Request{Method: http.MethodGet, Path: "/readyz", ReadOnly: true})
+		if resp.Failure == nil && resp.Status == http.StatusOK {
+			return nil
+		}
+		if !pause(ctx) {
+			return ctx.Err()
+		}
+	}
+	return fmt.Errorf("entry host %s is not ready", r.cfg.Entry)
+}
+
+// pause waits for pollPause and reports whether ctx is still alive.
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(pollPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// apply puts a document in force and declares its kinds.
+func (r *runner) apply(ctx context.Context, d Document) error {
+	if err := r.entry.apply(ctx, d); err != nil {
+		return err
+	}
+	for _, k := range d.Kinds {
+		r.post(Declared{Team: d.Team, Kind: k.Name, Idempotent: k.Idempotent, Tasks: max(1, k.GangSize)})
+	}
+	return nil
+}
+
+// jobs submits the ordinary jobs, one of them twice, and those that can never
+// run, and waits for their ends.
+func (r *runner) jobs(ctx context.Context, e *Example) error {
+	accepted, err := r.submit(ctx, append(append([]wire.JobRequest{}, e.Jobs...), e.Never...))
+	if err != nil {
+		return err
+	}
+	if len(e.Jobs) > 0 {
+		again, err := r.entry.submit(ctx, e.Jobs[:1])
+		if err != nil {
+			return err
+		}
+		if again[0].Error != nil {
+			return fmt.Errorf("submit job %s again: %s", e.Jobs[0].ID, again[0].Error.Message)
+		}
+	}
+	r.await(ctx, accepted)
+	return nil
+}
+
+// submit submits jobs and returns those that were accepted.
+func (r *runner) submit(ctx context.Context, jobs []wire.JobRequest) ([]wire.JobRequest, error) {
+	results, err := r.entry.submit(ctx, jobs)
+	if err != nil {
+		return nil, fmt.Errorf("submit %d jobs: %w", len(jobs), err)
+	}
+	var accepted []wire.JobRequest
+	for i, j := range jobs {
+		if failure := results[i].Error; failure != nil {
+			r.post(Finished{Work: workOf(j), Outcome: Refused, Verdict: failure.Verdict, Note: noteOf(failure)})
+			continue
+		}
+		r.post(Accepted{workOf(j)})
+		accepted = append(accepted, j)
+	}
+	return accepted, nil
+}
+
+// await waits for the ends of jobs. One without a final answer is left to the
+// accounts.
+func (r *runner) await(ctx context.Context, jobs []wire.JobRequest) {
+	each := iter.Iterator[wire.JobRequest]{MaxGoroutines: waiters}
+	each.ForEach(jobs, func(j *wire.JobRequest) {
+		if s, err := r.entry.wait(ctx, j.ID); err == nil {
+			r.finish(*j, s)
+		}
+	})
+}
+
+// finish posts the final answer about a job, if it is one.
+func (r *runner) finish(j wire.JobRequest, s *wire.JobStatus) {
+	outcomes := map[core.JobState]Outcome{
+		core.JobSucceeded: Completed, core.JobFailed: Failed, core.JobCancelled: Cancelled, core.JobRefused: Refused,
+	}
+	outcome, final := outcomes[s.State]
+	if !final {
+		return
+	}
+	note := ""
+	if outcome == Failed || outcome == Refused {
+		note = noteOf(s.Error)
+	}
+	r.post(Finished{Work: workOf(j), Outcome: outcome, Verdict: s.Verdict, Note: note})
+}
+
+// calls makes the interactive requests.
+func (r *runner) calls(ctx context.Context, e *Example) error {
+	each := iter.Iterator[Call]{MaxGoroutines: callers}
+	each.ForEach(e.Calls, func(c *Call) {
+		w := Work{worker.EntryCall, c.ID + r.cfg.CallSuffix, c.Team, c.Kind}
+		r.post(Accepted{w})
+		resp := r.entry.do(ctx, &ctl.Request{
+			Method: http.MethodPost, Path: wire.PathCalls + "/" + string(c.Team) + "/" + string(c.Kind),
+			Header: http.Header{wire.HeaderRequestID: {w.ID}}, Body: c.Body,
+		})
+		var verdict core.Verdict
+		if resp.Failure != nil || verdict.UnmarshalText([]byte(resp.Header.Get(wire.HeaderVerdict))) != nil {
+			return // There is no answer.
+		}
+		f := Finished{Work: w, Outcome: Failed, Verdict: verdict, Note: resp.Header.Get(wire.HeaderReason)}
+		switch {
+		case resp.Status == http.StatusOK:
+			f.Outcome = Completed
+		case verdict == core.NotRun:
+			f.Outcome = Refused
+		}
+		r.post(f)
+	})
+	return nil
+}
+
+// cancelRunning cancels jobs once they run.
+func (r *runner) cancelRunning(ctx context.Context, e *Example) error {
+	if len(e.Long) == 0 {
+		return nil
+	}
+	accepted, err := r.submit(ctx, e.Long)
+	if err != nil {
+		return err
+	}
+	for _, j := range accepted {
+		if err := r.awaitState(ctx, j.ID, core.JobRunning); err != nil {
+			return err
+		}
+		if err := r.cancel(ctx, j); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crowd submits more than can run at once and cancels the last one as it waits.
+func (r *runner) crowd(ctx context.Context, e *Example) error {
+	if len(e.Crowd) == 0 {
+		return nil
+	}
+	accepted, err := r.submit(ctx, e.Crowd)
+	if err != nil || len(accepted) == 0 {
+		return err
+	}
+	last := accepted[len(accepted)-1]
+	if err := r.awaitState(ctx, last.ID, core.JobQueued); err != nil {
+		return err
+	}
+	if err := r.cancel(ctx, last); err != nil {
+		return err
+	}
+	r.await(ctx, accepted[:len(accepted)-1])
+	return nil
+}
+
+// awaitState waits until a job is in a state.
+func (r *runner) awaitState(ctx context.Context, id core.JobID, state core.JobState) error {
+	for range polls {
+		s, err := r.entry.status(ctx, id)
+		if err != nil {
+			return fmt.Errorf("status of job %s: %w", id, err)
+		}
+		if s.State == state {
+			return nil
+		}
+		if s.State.Final() || !pause(ctx) {
+			return fmt.Errorf("job %s is %s before it was seen %s", id, s.State, state)
+		}
+	}
+	return fmt.Errorf("job %s was not seen %s", id, state)
+}
+
+// cancel cancels a job.
+func (r *runner) cancel(ctx context.Context, j wire.JobRequest) error {
+	s, err := r.entry.cancel(ctx, j.ID)
+	if err != nil {
+		return fmt.Errorf("cancel job %s: %w", j.ID, err)
+	}
+	r.finish(j, s)
+	return nil
+}
+
+// readLedger posts the workers' ledger.
+func (r *runner) readLedger(ctx context.Context) error {
+	ledger, err := r.platform.ledger(ctx)
+	if err != nil {
+		return err
+	}
+	for _, w := range ledger.Workers {
+		for _, e := range w.Entries {
+			r.post(Recorded{e})
+		}
+	}
+	return nil
+}
+
+func workOf(j wire.JobRequest) Work { return Work{worker.EntryTask, string(j.ID), j.Team, j.Kind} }
+
+// noteOf returns the reason of a refusal.
+func noteOf(e *wire.Error) string {
+	if e == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s (%s)", e.Reason, e.Verdict)
+}
