Give every refusal of bad input a reason and a verdict

A table of bad requests found answers that a program could not read: unknown paths and methods and too many headers were answered by the libraries with plain text or a redirect, and a lost race of edits had neither reason nor verdict in its headers. A closing bracket after the JSON value was accepted, since Decoder.More passes over it.

The tests send 41 bad requests over HTTP to a daemon with in-process stand-in and check that it answers afterwards, that a repeated submit starts nothing, and that requests in progress are bounded.

--- a/core/refusal.go
+++ b/core/refusal.go
@@ -39,6 +39,8 @@
 	ReasonPeer             Reason = "peer_failed"
 	ReasonPreempted        Reason = "preempted"
 	ReasonInternal         Reason = "internal"
+	ReasonUnknownPath      Reason = "unknown_path"
+	ReasonUnknownMethod    Reason = "unknown_method"
 )
 
 // Refusal is the error given to a caller whose request was not carried out. Its
--- /dev/null
+++ b/entry/badinput_test.go
@@ -0,0 +1,353 @@
+package entry_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/embedded"
+	"banyanrun.example/banyanrun/entry"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/wire"
+)
+
+const (
+	// maxRequests is the daemon's limit on requests in progress in these tests.
+	maxRequests = 2
+	// polls and pollPause bound the wait for a state of the daemon.
+	polls     = 600
+	pollPause = 50 * time.Millisecond
+)
+
+// host is a running daemon with an in-process stand-in.
+type host struct {
+	t       *testing.T
+	address string
+	standin *standin.Server
+}
+
+// startHost starts a daemon and puts a document in force.
+func startHost(t *testing.T) *host {
+	t.Helper()
+	var set entry.Settings
+	if _, err := flags.ParseArgs(&set, []string{"--listen", "127.0.0.1:0", "--max-requests", fmt.Sprint(maxRequests)}); err != nil {
+		t.Fatal(err)
+	}
+	server, err := embedded.Start(&set, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	daemon, err := entry.New(set, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var running conc.WaitGroup
+	running.Go(func() {
+		if err := daemon.Run(ctx); err != nil {
+			t.Errorf("daemon stopped: %v", err)
+		}
+	})
+	t.Cleanup(func() { stop(); running.Wait() })
+	h := &host{t: t, address: daemon.Address(), standin: server}
+	for range polls {
+		if resp, _ := h.do(request{path: "/readyz"}); resp.StatusCode == http.StatusOK {
+			break
+		}
+		time.Sleep(pollPause)
+	}
+	resp, body := h.do(request{
+		method: http.MethodPut, path: "/v1/documents/team", body: teamDocument(1),
+		header: map[string]string{wire.HeaderIfMatch: "0"},
+	})
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("document was not applied: %d %s", resp.StatusCode, body)
+	}
+	return h
+}
+
+// teamDocument is a document with a job kind that takes cpus, and a call kind.
+func teamDocument(cpus int) string {
+	return fmt.Sprintf(`{"schema": 1, "team": "team", "service": "service", "weight": 1,
+		"quota": {"cpus": 8, "memory_mb": 1024, "slots": 8},
+		"kinds": [
+			{"name": "batch", "urgency": "normal", "idempotent": true, "run_time": "1s", "deadline": "1h",
+			 "max_attempts": 2, "queue_limit": 100, "request": {"cpus": %d, "memory_mb": 64, "slots": 1}},
+			{"name": "lookup", "urgency": "interactive", "idempotent": true, "run_time": "10ms", "deadline": "5s",
+			 "progress_timeout": "4s", "max_attempts": 2, "queue_limit": 10,
+			 "request": {"cpus": 1, "memory_mb": 64, "slots": 1, "connections": 1}}]}`, cpus)
+}
+
+// request is one request of a test. An empty method is GET.
+type request struct {
+	method, path, body string
+	header             map[string]string
+}
+
+// do sends a request and reads the whole answer.
+func (h *host) do(r request) (*http.Response, []byte) {
+	h.t.Helper()
+	req, err := http.NewRequest(r.method, "http://"+h.address+r.path, strings.NewReader(r.body))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	for name, value := range r.header {
+		req.Header.Set(name, value)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		h.t.Fatalf("%s %s: %v", r.method, r.path, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		h.t.Fatalf("%s %s: %v", r.method, r.path, err)
+	}
+	return resp, body
+}
+
+// wantRefusal checks that an answer carries the reason and verdict in its
+// headers and its body.
+func wantRefusal(t *testing.T, resp *http.Response, body []byte, status int, reason core.Reason) {
+	t.Helper()
+	var refused wire.Error
+	if reason == core.ReasonConflict {
+		var conflict wire.DocumentConflict
+		if err := json.Unmarshal(body, &conflict); err != nil {
+			t.Fatalf("answer %d %s: %v", resp.StatusCode, body, err)
+		}
+		refused = conflict.Error
+	} else if err := json.Unmarshal(body, &refused); err != nil {
+		t.Fatalf("answer %d %s: %v", resp.StatusCode, body, err)
+	}
+	if resp.StatusCode != status || refused.Reason != reason || refused.Verdict != core.NotRun || refused.Message == "" {
+		t.Errorf("answer is %d %s; want %d %s not_run", resp.StatusCode, body, status, reason)
+	}
+	if got := resp.Header.Get(wire.HeaderReason); got != string(reason) {
+		t.Errorf("header %s is %q, want %q", wire.HeaderReason, got, reason)
+	}
+	if got := resp.Header.Get(wire.HeaderVerdict); got != core.NotRun.String() {
+		t.Errorf("header %s is %q, want not_run", wire.HeaderVerdict, got)
+	}
+}
+
+// wantAlive checks that the reducer still answers.
+func (h *host) wantAlive() {
+	h.t.Helper()
+	if resp, body := h.do(request{path: "/v1/teams"}); resp.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(`"team"`)) {
+		h.t.Fatalf("daemon does not answer any more: %d %s", resp.StatusCode, body)
+	}
+}
+
+// submit is a submit with a body.
+func submit(body string) request {
+	return request{method: http.MethodPost, path: "/v1/jobs", body: body}
+}
+
+// put is an edit with a base revision.
+func put(path, body, base string) request {
+	return request{method: http.MethodPut, path: path, body: body, header: map[string]string{wire.HeaderIfMatch: base}}
+}
+
+// jobWith is a valid job with a payload of the given number of encoded bytes.
+func jobWith(id string, payload int) string {
+	return `{"id": "` + id + `", "team": "team", "kind": "batch", "payload": "` + strings.Repeat("AAAA", payload/4) + `"}`
+}
+
+// Guards against bad input that is carried out in part, answered without a
+// reason that a program can read, or that stops the daemon.
+func TestBadInputIsRefused(t *testing.T) {
+	h := startHost(t)
+	if resp, body := h.do(submit(jobWith("taken", 4))); resp.StatusCode != http.StatusAccepted {
+		t.Fatalf("submit: %d %s", resp.StatusCode, body)
+	}
+	for _, c := range badInput() {
+		t.Run(c.name, func(t *testing.T) {
+			resp, body := h.do(c.request)
+			wantRefusal(t, resp, body, c.status, c.reason)
+			h.wantAlive()
+		})
+	}
+	resp, body := h.do(request{path: "/v1/documents/team"})
+	var version wire.DocumentVersion
+	if err := json.Unmarshal(body, &version); err != nil || resp.StatusCode != http.StatusOK ||
+		!bytes.Contains(version.Document, []byte(`"milli_cpu":1000`)) {
+		t.Errorf("document in force is %d %s, %v; want the first", resp.StatusCode, body, err)
+	}
+	resp, body = h.do(request{path: "/v1/jobs/taken/wait"})
+	if resp.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(`"succeeded"`)) {
+		t.Errorf("the accepted job ended as %d %s, want success", resp.StatusCode, body)
+	}
+}
+
+// badCase is a request that must be refused as not run.
+type badCase struct {
+	name    string
+	request request
+	status  int
+	reason  core.Reason
+}
+
+func badInput() []badCase {
+	post := func(path, body string) request { return request{method: http.MethodPost, path: path, body: body} }
+	many := strings.Repeat(`{"id": "a", "team": "team", "kind": "batch"},`, 1000) + `{"id": "b", "team": "team", "kind": "batch"}`
+	return []badCase{
+		{"a job whose body is too long", submit(jobWith("a", 128<<10)), 413, core.ReasonTooLarge},
+		{"a job whose payload is too long", submit(jobWith("a", 100<<10)), 413, core.ReasonTooLarge},
+		{"a batch whose body is too long", post("/v1/jobs/batch", jobWith("a", 8<<20)), 413, core.ReasonTooLarge},
+		{"a call whose body is too long", post("/v1/call/team/lookup", strings.Repeat("x", 1<<20+1)), 413, core.ReasonTooLarge},
+		{"a document that is too long", put("/v1/documents/team", strings.Repeat(" ", 256<<10+1), "0"), 413, core.ReasonTooLarge},
+		{"no body", submit(""), 400, core.ReasonInvalid},
+		{"half a JSON value", submit(`{"id": "a", "team": "te`), 400, core.ReasonInvalid},
+		{"half a document", put("/v1/documents/team", teamDocument(2)[:200], "0"), 400, core.ReasonInvalid},
+		{"a JSON array", submit(`[]`), 400, core.ReasonInvalid},
+		{"JSON null", submit(`null`), 400, core.ReasonInvalid},
+		{"an id of the wrong type", submit(`{"id": 7, "team": "team", "kind": "batch"}`), 400, core.ReasonInvalid},
+		{"a payload that is not base64", submit(`{"id": "a", "team": "team", "kind": "batch", "payload": "?"}`), 400, core.ReasonInvalid},
+		{"an unknown field", submit(`{"id": "a", "team": "team", "kind": "batch", "priority": 1}`), 400, core.ReasonInvalid},
+		{"a second value after the job", submit(jobWith("a", 4) + jobWith("b", 4)), 400, core.ReasonInvalid},
+		{"a closing bracket after the job", submit(jobWith("a", 4) + "}"), 400, core.ReasonInvalid},
+		{"no id", submit(`{"team": "team", "kind": "batch"}`), 400, core.ReasonInvalid},
+		{"an id with a slash", submit(jobWith("a/b", 4)), 400, core.ReasonInvalid},
+		{"an id that names the parent folder", submit(jobWith("..", 4)), 400, core.ReasonInvalid},
+		{"an id that is too long", submit(jobWith(strings.Repeat("a", 129), 4)), 400, core.ReasonInvalid},
+		{"the id of another job", submit(jobWith("taken", 8)), 409, core.ReasonDuplicateID},
+		{"an unknown team", submit(`{"id": "a", "team": "nobody", "kind": "batch"}`), 404, core.ReasonUnknownTeam},
+		{"an unknown kind", submit(`{"id": "a", "team": "team", "kind": "none"}`), 404, core.ReasonUnknownKind},
+		{"an interactive kind as a job", submit(`{"id": "a", "team": "team", "kind": "lookup"}`), 400, core.ReasonInvalid},
+		{"a batch with too many jobs", post("/v1/jobs/batch", `{"jobs": [`+many+`]}`), 400, core.ReasonInvalid},
+		{"a batch without jobs", post("/v1/jobs/batch", `{"jobs": []}`), 400, core.ReasonInvalid},
+		{"the status of an unknown job", request{path: "/v1/jobs/none"}, 404, core.ReasonUnknownJob},
+		{"a cancellation of an unknown job", request{method: http.MethodDelete, path: "/v1/jobs/none"}, 404, core.ReasonUnknownJob},
+		{"a wait that is too long", request{path: "/v1/jobs/taken/wait?timeout_ms=600001"}, 400, core.ReasonInvalid},
+		{"a wait that is not a number", request{path: "/v1/jobs/taken/wait?timeout_ms=1s"}, 400, core.ReasonInvalid},
+		{"an id with a slash in the path", request{path: "/v1/jobs/taken%2Fagain"}, 404, core.ReasonUnknownPath},
+		{"a path that does not exist", request{path: "/v2/jobs"}, 404, core.ReasonUnknownPath},
+		{"a method that the path does not have", request{method: http.MethodPut, path: "/v1/jobs"}, 405, core.ReasonUnknownMethod},
+		{"a call of an unknown kind", post("/v1/call/team/none", ""), 404, core.ReasonUnknownKind},
+		{"a call of a kind that is not interactive", post("/v1/call/team/batch", ""), 404, core.ReasonUnknownKind},
+		{"a call with a bad request id", request{method: http.MethodPost, path: "/v1/call/team/lookup",
+			header: map[string]string{wire.HeaderRequestID: "a b"}}, 400, core.ReasonInvalid},
+		{"a negative size in a document", put("/v1/documents/team", teamDocument(-1), "1"), 400, core.ReasonInvalid},
+		{"a document of another team", put("/v1/documents/other", teamDocument(2), "0"), 400, core.ReasonInvalid},
+		{"an edit without its base", put("/v1/documents/team", teamDocument(2), ""), 400, core.ReasonInvalid},
+		{"an edit of a version that is not in force", put("/v1/documents/team", teamDocument(2), "0"), 409, core.ReasonConflict},
+		{"the document of an unknown team", request{path: "/v1/documents/nobody"}, 404, core.ReasonUnknownTeam},
+		{"too many bytes of headers", request{path: "/v1/teams", header: map[string]string{"X-Long": strings.Repeat("x", 16<<10)}},
+			413, core.ReasonTooLarge},
+	}
+}
+
+// Guards against a job that runs twice because its caller did not see the first
+// answer.
+func TestRepeatedSubmitIsAnsweredFromTheFirst(t *testing.T) {
+	h := startHost(t)
+	for i, want := range []string{"", `"succeeded"`} {
+		resp, body := h.do(submit(jobWith("once", 4)))
+		if resp.StatusCode != http.StatusAccepted || !strings.Contains(string(body), want) {
+			t.Fatalf("submit %d: answer is %d %s, want %s", i+1, resp.StatusCode, body, want)
+		}
+		if resp, body := h.do(request{path: "/v1/jobs/once/wait"}); !bytes.Contains(body, []byte(`"succeeded"`)) {
+			t.Fatalf("wait: %d %s", resp.StatusCode, body)
+		}
+	}
+	ledger, err := h.standin.Ledger(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	starts := 0
+	for _, w := range ledger.Workers {
+		for _, e := range w.Entries {
+			if e.Job == "once" {
+				starts++
+			}
+		}
+	}
+	if starts != 1 {
+		t.Errorf("ledger shows %d starts, want 1", starts)
+	}
+}
+
+// hold sends the headers of a submit and returns once the daemon asks for the
+// body, which is once the request counts as in progress.
+func (h *host) hold(length int) (net.Conn, *bufio.Reader) {
+	h.t.Helper()
+	conn, err := net.Dial("tcp", h.address)
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { conn.Close() })
+	fmt.Fprintf(conn, "POST /v1/jobs HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\nExpect: 100-continue\r\n\r\n", length)
+	in := bufio.NewReader(conn)
+	for _, want := range []string{"HTTP/1.1 100 Continue\r\n", "\r\n"} {
+		if line, err := in.ReadString('\n'); err != nil || line != want {
+			h.t.Fatalf("answer begins with %q, %v; want %q", line, err, want)
+		}
+	}
+	return conn, in
+}
+
+// Guards against a daemon that takes on requests without bound, or that refuses
+// for good after its limit was reached once.
+func TestRequestsInProgressAreBounded(t *testing.T) {
+	h := startHost(t)
+	job := jobWith("held", 4)
+	conn, in := h.hold(len(job))
+	for range maxRequests - 1 {
+		h.hold(len(job))
+	}
+	resp, body := h.do(request{path: "/v1/teams"})
+	wantRefusal(t, resp, body, http.StatusTooManyRequests, core.ReasonQueueFull)
+	if resp.Header.Get("Retry-After") == "" {
+		t.Error("refusal has no Retry-After")
+	}
+	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
+		if resp, _ := h.do(request{path: path}); resp.StatusCode != http.StatusOK {
+			t.Errorf("%s answers %d at the limit, want 200", path, resp.StatusCode)
+		}
+	}
+	if _, err := io.WriteString(conn, job); err != nil {
+		t.Fatal(err)
+	}
+	held, err := http.ReadResponse(in, nil)
+	if err != nil || held.StatusCode != http.StatusAccepted {
+		t.Fatalf("request in progress was answered with %v, %v; want 202", held, err)
+	}
+	h.wantAlive()
+}
+
+// Guards against a daemon that reads headers without bound.
+func TestHugeHeadersEndTheConnection(t *testing.T) {
+	h := startHost(t)
+	conn, err := net.Dial("tcp", h.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// The server reads exactly this many bytes. It resets a connection on which
+	// it leaves some unread, and the answer could be lost.
+	const limit = 64<<10 + 4096
+	head := "GET /v1/teams HTTP/1.1\r\nHost: test\r\nX-Long: "
+	if _, err := io.WriteString(conn, head+strings.Repeat("x", limit-len(head))); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("answer is %v, %v; want 431", resp, err)
+	}
+	h.wantAlive()
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -28,8 +28,12 @@
 	reportPeriod = time.Second
 	// reportSpacing bounds the reports while there is much activity.
 	reportSpacing = 50 * time.Millisecond
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 16 << 10
+	// maxHeaderBytes bounds the request line and headers of a request, and
+	// hardHeaderBytes what the server reads of them before it gives up.
+	maxHeaderBytes  = 16 << 10
+	hardHeaderBytes = 64 << 10
+	// headerOverhead is what separates names, values and lines of headers.
+	headerOverhead = len(": ") + len("\r\n")
 	// readHeaderTimeout bounds the time in which a request's headers arrive.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout bounds the time between two requests on a connection.
@@ -93,7 +97,7 @@
 		Period: core.TickPeriod, Mailbox: mailbox, Observe: d.observe,
 	})
 	d.server = &http.Server{
-		Handler: d.routes(), MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.routes(), MaxHeaderBytes: hardHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 	}
 	return d, nil
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,7 +28,8 @@
 	if err := dec.Decode(v); err != nil {
 		return invalid("body is not the expected JSON: %v", err)
 	}
-	if dec.More() {
+	// More would pass over a closing bracket.
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return invalid("body has data after the JSON value")
 	}
 	return nil
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -62,6 +62,8 @@
 		if reply.Conflict.Revision != 0 {
 			c.InForce = version(reply.Conflict)
 		}
+		w.Header().Set(wire.HeaderVerdict, c.Error.Verdict.String())
+		w.Header().Set(wire.HeaderReason, string(c.Error.Reason))
 		writeJSON(w, http.StatusConflict, c)
 	default:
 		writeStatus(w, http.StatusOK, reply)
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -36,6 +36,9 @@
 func (d *Daemon) routes() http.Handler {
 	r := httprouter.New()
 	r.HandleMethodNotAllowed = true
+	// A redirected POST would turn into a GET.
+	r.RedirectTrailingSlash, r.RedirectFixedPath = false, false
+	r.NotFound, r.MethodNotAllowed = http.HandlerFunc(unknownPath), http.HandlerFunc(unknownMethod)
 	r.PanicHandler = d.panicked
 	for _, h := range d.handlers() {
 		handle := h.handle
@@ -44,7 +47,45 @@
 		}
 		r.Handle(h.Method, h.Path, handle)
 	}
-	return r
+	return limitHeaders(r)
+}
+
+// limitHeaders refuses requests with too many headers. The server's own limit
+// ends the connection with an answer that has neither reason nor verdict, and
+// is therefore higher.
+func limitHeaders(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := len(r.Method) + len(r.RequestURI)
+		for name, values := range r.Header {
+			for _, v := range values {
+				size += len(name) + len(v) + headerOverhead
+			}
+		}
+		if size > maxHeaderBytes {
+			writeRefusal(w, &core.Refusal{
+				Reason:  core.ReasonTooLarge,
+				Message: fmt.Sprintf("request line and headers have %d bytes; at most %d are allowed", size, maxHeaderBytes),
+			})
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// unknownPath refuses a path that is not of the API.
+func unknownPath(w http.ResponseWriter, r *http.Request) {
+	writeRefusal(w, &core.Refusal{
+		Reason: core.ReasonUnknownPath, Message: fmt.Sprintf("no call has the path %q", r.URL.Path),
+	})
+}
+
+// unknownMethod refuses a method that the path does not have. The router has
+// set the header Allow.
+func unknownMethod(w http.ResponseWriter, r *http.Request) {
+	writeRefusal(w, &core.Refusal{
+		Reason:  core.ReasonUnknownMethod,
+		Message: fmt.Sprintf("path %q does not have the method %s", r.URL.Path, r.Method),
+	})
 }
 
 // handler is a route with its function. Bounded ones count towards the limit on
@@ -126,8 +167,10 @@
 		return http.StatusBadRequest
 	case core.ReasonForbidden:
 		return http.StatusForbidden
-	case core.ReasonUnknownTeam, core.ReasonUnknownKind, core.ReasonUnknownJob:
+	case core.ReasonUnknownTeam, core.ReasonUnknownKind, core.ReasonUnknownJob, core.ReasonUnknownPath:
 		return http.StatusNotFound
+	case core.ReasonUnknownMethod:
+		return http.StatusMethodNotAllowed
 	case core.ReasonTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case core.ReasonDuplicateID, core.ReasonConflict:
