Require mutual TLS and check rights in the entry daemon

Anyone who reached the listener could edit documents, pose as a peer and cancel jobs of other teams. A forwarded request carries the identity it is made for, so that the owner decides on it. A cancellation reads the status first, since it cannot be undone. Accepted connections and the time to read a request are bounded.

--- a/cmd/banyanrun-entry/main.go
+++ b/cmd/banyanrun-entry/main.go
@@ -23,7 +23,7 @@
 // settings are the command's flags.
 type settings struct {
 	entry.Settings
-	Embedded bool `long:"embedded" env:"BANYANRUN_EMBEDDED" description:"run the platform and workers in this process, for a first try on one machine"`
+	Embedded bool `long:"embedded" env:"BANYANRUN_EMBEDDED" description:"run the platform and workers in this process, for a first try on one machine; without keys it implies --insecure on a loopback address"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"banyanrun.example/banyanrun/entry"
 	"banyanrun.example/banyanrun/standin"
@@ -20,7 +21,8 @@
 const workersOf = 8
 
 // Start starts a platform with one data centre that has workers of the sizes of
-// both deployments, and points the settings at it.
+// both deployments, and points the settings at it. Without keys, the daemon is
+// insecure if only this machine can reach it.
 func Start(set *entry.Settings) (*standin.Server, error) {
 	if set.Host == "" {
 		set.Host = defaultHost
@@ -28,6 +30,9 @@
 	if set.DataCentre == "" {
 		set.DataCentre = defaultDataCentre
 	}
+	if !set.Files().Given() && isLoopback(set.Listen) {
+		set.Insecure = true
+	}
 	server, err := standin.Start(standin.Config{
 		Topology: topology(set.DataCentre),
 		Hosts: []wire.ListedHost{{
@@ -41,6 +46,12 @@
 	return server, nil
 }
 
+// isLoopback reports whether an ip:port is reached from this machine only.
+func isLoopback(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	return err == nil && at.Addr().IsLoopback()
+}
+
 // topology has two racks: workers of 32 cores and 128 GB, and of 16 cores and 32
 // GB.
 func topology(dc string) standin.Topology {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 	"banyanrun.example/banyanrun/control"
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/grant"
+	"banyanrun.example/banyanrun/keys"
 	"banyanrun.example/banyanrun/platform"
 	"banyanrun.example/banyanrun/upstream"
 )
@@ -32,6 +33,8 @@
 	maxHeaderBytes = 16 << 10
 	// readHeaderTimeout bounds the time in which a request's headers arrive.
 	readHeaderTimeout = 10 * time.Second
+	// readTimeout bounds the time in which a whole request arrives.
+	readTimeout = time.Minute
 	// idleTimeout bounds the time between two requests on a connection.
 	idleTimeout = 2 * time.Minute
 )
@@ -52,6 +55,8 @@
 	metrics *metrics.Set
 	record  *recorder
 	slots   chan struct{}
+	// keys is nil if the daemon is insecure by its settings.
+	keys *keys.Store
 
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -66,6 +71,10 @@
 	if err := set.Check(); err != nil {
 		return nil, err
 	}
+	store, err := loadKeys(set)
+	if err != nil {
+		return nil, err
+	}
 	listener, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", set.Listen, err)
@@ -77,9 +86,9 @@
 		workers: upstream.New(upstream.Config{
 			DialTimeout: set.WorkerTimeout, CallTimeout: set.WorkerTimeout,
 		}),
-		peers: newPeerClient(), open: newPending(), metrics: metrics.NewSet(),
+		peers: newPeerClient(store), open: newPending(), metrics: metrics.NewSet(),
 		slots: make(chan struct{}, set.MaxRequests), stopped: make(chan struct{}),
-		listener: listener,
+		listener: listener, keys: store,
 	}
 	cfg := set.config(started)
 	d.reducer = core.New(cfg)
@@ -93,8 +102,9 @@
 		Period: core.TickPeriod, Mailbox: mailbox, Observe: d.observe,
 	})
 	d.server = &http.Server{
-		Handler: d.routes(), MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler: d.closeStale(d.routes()), MaxHeaderBytes: maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ConnContext: d.connContext, ErrorLog: d.listenerLog(),
 	}
 	return d, nil
 }
@@ -110,9 +120,10 @@
 	var parts conc.WaitGroup
 	parts.Go(func() { d.loop.Run(running) })
 	parts.Go(func() { d.reportCalls(running) })
+	parts.Go(func() { d.watchKeys(running) })
 	failed := make(chan error, 1)
 	parts.Go(func() {
-		if err := d.server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := d.server.Serve(d.accepting()); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
 		}
 	})
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -82,6 +82,10 @@
 		writeRefusal(w, ref)
 		return
 	}
+	if ref := d.permit(r, core.ActionSubmit, spec.Team); ref != nil {
+		d.forbid(w, ref)
+		return
+	}
 	d.ask(w, r, question{
 		body: body, wait: defaultWait,
 		event: func(id core.RequestID) core.EventBody {
@@ -190,7 +194,13 @@
 		ask.Request = id
 		return ask
 	}
-	q.answer = func(reply core.Reply) { writeStatus(w, http.StatusOK, reply) }
+	q.answer = func(reply core.Reply) {
+		if ref := d.permitJob(r, core.ActionReadJob, reply); ref != nil {
+			d.forbid(w, ref)
+			return
+		}
+		writeStatus(w, http.StatusOK, reply)
+	}
 	d.ask(w, r, q)
 }
 
@@ -209,8 +219,35 @@
 	return limit, nil
 }
 
-// cancel cancels a job. The answer follows when it is certain what became of it.
+// cancel cancels a job. A cancellation cannot be undone, so the status is read
+// first to learn whether the job's team permits it.
 func (d *Daemon) cancel(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	if d.keys == nil {
+		d.cancelPermitted(w, r, p)
+		return
+	}
+	d.ask(w, r, question{
+		wait: defaultWait,
+		event: func(id core.RequestID) core.EventBody {
+			return core.StatusRequested{
+				Request: id, Job: core.JobID(p.ByName("id")), Forwarded: isForwarded(r),
+			}
+		},
+		answer: func(reply core.Reply) {
+			if ref := d.permitJob(r, core.ActionCancelJob, reply); ref != nil {
+				d.forbid(w, ref)
+			} else if reply.Status == nil {
+				writeStatus(w, http.StatusOK, reply)
+			} else {
+				d.cancelPermitted(w, r, p)
+			}
+		},
+	})
+}
+
+// cancelPermitted cancels a job of a team whose jobs the caller may cancel. The
+// answer follows when it is certain what became of the job.
+func (d *Daemon) cancelPermitted(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 	d.ask(w, r, question{
 		wait: defaultWait,
 		event: func(id core.RequestID) core.EventBody {
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -35,11 +35,16 @@
 		writeRefusal(w, invalid("header %s must carry the revision that was edited, or 0", wire.HeaderIfMatch))
 		return
 	}
+	author, ref := d.author(r)
+	if ref != nil {
+		d.forbid(w, ref)
+		return
+	}
 	d.ask(w, r, question{
 		wait: defaultWait,
 		event: func(id core.RequestID) core.EventBody {
 			return core.DocumentProposed{
-				Request: id, Document: *doc, Base: core.Revision(base), Author: r.Header.Get(wire.HeaderAuthor),
+				Request: id, Document: *doc, Base: core.Revision(base), Author: author,
 			}
 		},
 		answer: func(reply core.Reply) { writeEdit(w, doc, reply) },
@@ -135,5 +140,13 @@
 
 func (d *Daemon) viewTeams(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	ask := core.ViewRequested{View: core.ViewTeams, Team: core.TeamName(r.URL.Query().Get(wire.ParamTeam))}
+	action := core.ActionReadTeam
+	if ask.Team == "" {
+		action = core.ActionReadFleet
+	}
+	if ref := d.permit(r, action, ask.Team); ref != nil {
+		d.forbid(w, ref)
+		return
+	}
 	d.view(w, r, ask, func(v any) any { return wire.FromTeamViews(v.([]core.TeamView)) })
 }
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -12,6 +12,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/keys"
 	"banyanrun.example/banyanrun/wire"
 )
 
@@ -32,13 +33,26 @@
 	peerConnections = 64
 )
 
-// newPeerClient returns the client for messages to peers.
-func newPeerClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+// newPeerClient returns the client for messages to peers. It uses mutual TLS
+// unless store is nil.
+func newPeerClient(store *keys.Store) *http.Client {
+	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: peerTimeout}).DialContext,
 		IdleConnTimeout:     peerIdle,
 		MaxIdleConnsPerHost: peerConnections,
-	}}
+	}
+	if store != nil {
+		transport.DialTLSContext = store.Dialer(peerTimeout)
+	}
+	return &http.Client{Transport: transport}
+}
+
+// peerURL returns the URL of a path at a peer.
+func (d *Daemon) peerURL(address, path string) string {
+	if d.keys == nil {
+		return "http://" + address + path
+	}
+	return "https://" + address + path
 }
 
 // sendPeer sends one message. A lost message is not sent again: the next
@@ -51,7 +65,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.peerURL(address, path), bytes.NewReader(data))
 	if err != nil {
 		d.log.Error().Err(err).Str("address", address).Msg("peer address is not usable")
 		return
@@ -102,11 +116,14 @@
 func (d *Daemon) forward(ctx context.Context, w http.ResponseWriter, o *original, f core.Forward) (bool, core.Verdict) {
 	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, o.method, "http://"+f.Address+o.path, bytes.NewReader(o.body))
+	req, err := http.NewRequestWithContext(ctx, o.method, d.peerURL(f.Address, o.path), bytes.NewReader(o.body))
 	if err != nil {
 		return false, core.NotRun
 	}
 	req.Header.Set(wire.HeaderForwarded, d.set.Host)
+	if o.identity != "" {
+		req.Header.Set(wire.HeaderForwardedFor, o.identity)
+	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := d.peers.Do(req)
 	if err != nil {
--- a/entry/request.go
+++ b/entry/request.go
@@ -26,6 +26,8 @@
 	method string
 	path   string
 	body   []byte
+	// identity is the caller's, for the header HeaderForwardedFor.
+	identity string
 }
 
 // isForwarded reports whether another entry host passed the request on.
@@ -56,7 +58,7 @@
 		writeRefusal(w, &core.Refusal{Reason: core.ReasonDraining, Message: "host is stopping"})
 		return
 	}
-	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body}
+	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body, identity: d.encodeIdentity(r)}
 	for {
 		select {
 		case f := <-replies:
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -38,7 +38,7 @@
 	r.HandleMethodNotAllowed = true
 	r.PanicHandler = d.panicked
 	for _, h := range d.handlers() {
-		handle := h.handle
+		handle := d.guarded(h.action, h.handle)
 		if h.bounded {
 			handle = d.bounded(handle)
 		}
@@ -51,6 +51,7 @@
 // requests in progress.
 type handler struct {
 	Route
+	action  core.Action
 	bounded bool
 	handle  httprouter.Handle
 }
@@ -60,25 +61,25 @@
 	job := wire.PathJobs + "/:id"
 	doc := wire.PathDocuments + "/:team"
 	return []handler{
-		{Route{http.MethodPost, wire.PathJobs}, true, d.submit},
-		{Route{http.MethodPost, wire.PathJobsBatch}, true, d.submitBatch},
-		{Route{http.MethodGet, job}, true, d.status},
-		{Route{http.MethodGet, job + "/" + wire.ElementWait}, true, d.wait},
-		{Route{http.MethodGet, job + "/" + wire.ElementExplain}, true, d.explain},
-		{Route{http.MethodDelete, job}, true, d.cancel},
-		{Route{http.MethodPost, wire.PathCalls + "/:team/:kind"}, true, d.call},
-		{Route{http.MethodGet, doc}, true, d.getDocument},
-		{Route{http.MethodPut, doc}, true, d.putDocument},
-		{Route{http.MethodGet, doc + "/" + wire.ElementHistory}, true, d.history},
-		{Route{http.MethodGet, wire.PathHostsView}, true, d.viewHosts},
-		{Route{http.MethodGet, wire.PathWorkers}, true, d.viewWorkers},
-		{Route{http.MethodGet, wire.PathTeams}, true, d.viewTeams},
-		{Route{http.MethodPost, pathHeartbeat}, false, d.heartbeat},
-		{Route{http.MethodPost, pathSummary}, false, d.summary},
-		{Route{http.MethodPost, pathDocuments}, false, d.documents},
-		{Route{http.MethodGet, "/metrics"}, false, d.writeMetrics},
-		{Route{http.MethodGet, "/healthz"}, false, d.healthy},
-		{Route{http.MethodGet, "/readyz"}, false, d.readyz},
+		{Route{http.MethodPost, wire.PathJobs}, core.ActionSubmit, true, d.submit},
+		{Route{http.MethodPost, wire.PathJobsBatch}, core.ActionSubmit, true, d.submitBatch},
+		{Route{http.MethodGet, job}, core.ActionReadJob, true, d.status},
+		{Route{http.MethodGet, job + "/" + wire.ElementWait}, core.ActionReadJob, true, d.wait},
+		{Route{http.MethodGet, job + "/" + wire.ElementExplain}, core.ActionReadJob, true, d.explain},
+		{Route{http.MethodDelete, job}, core.ActionCancelJob, true, d.cancel},
+		{Route{http.MethodPost, wire.PathCalls + "/:team/:kind"}, core.ActionCall, true, d.call},
+		{Route{http.MethodGet, doc}, core.ActionReadDocument, true, d.getDocument},
+		{Route{http.MethodPut, doc}, core.ActionEditDocument, true, d.putDocument},
+		{Route{http.MethodGet, doc + "/" + wire.ElementHistory}, core.ActionReadDocument, true, d.history},
+		{Route{http.MethodGet, wire.PathHostsView}, core.ActionReadFleet, true, d.viewHosts},
+		{Route{http.MethodGet, wire.PathWorkers}, core.ActionReadFleet, true, d.viewWorkers},
+		{Route{http.MethodGet, wire.PathTeams}, core.ActionReadTeam, true, d.viewTeams},
+		{Route{http.MethodPost, pathHeartbeat}, core.ActionPeer, false, d.heartbeat},
+		{Route{http.MethodPost, pathSummary}, core.ActionPeer, false, d.summary},
+		{Route{http.MethodPost, pathDocuments}, core.ActionPeer, false, d.documents},
+		{Route{http.MethodGet, "/metrics"}, core.ActionObserve, false, d.writeMetrics},
+		{Route{http.MethodGet, "/healthz"}, core.ActionObserve, false, d.healthy},
+		{Route{http.MethodGet, "/readyz"}, core.ActionObserve, false, d.readyz},
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -12,8 +12,13 @@
 	"time"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/keys"
 )
 
+// defaultKeysCheck is the default time between two checks of the certificate's
+// files.
+const defaultKeysCheck = 10 * time.Second
+
 // Settings are the daemon's settings. The tags serve go-flags.
 type Settings struct {
 	Host       string `long:"host" env:"BANYANRUN_HOST" description:"name of this entry host, unique among all entry hosts"`
@@ -33,6 +38,14 @@
 	DrainTimeout  time.Duration `long:"drain-timeout" env:"BANYANRUN_DRAIN_TIMEOUT" default:"60s" description:"bound of a planned stop"`
 	MaxRequests   int           `long:"max-requests" env:"BANYANRUN_MAX_REQUESTS" default:"4096" description:"requests of callers in progress at a time"`
 
+	MaxConnections int `long:"max-connections" env:"BANYANRUN_MAX_CONNECTIONS" description:"accepted connections at a time; further ones are closed at once; twice --max-requests if 0"`
+
+	Cert      string        `long:"cert" env:"BANYANRUN_CERT" description:"file with this host's certificate, in PEM form"`
+	Key       string        `long:"key" env:"BANYANRUN_KEY" description:"file with the certificate's private key, in PEM form"`
+	CA        string        `long:"ca" env:"BANYANRUN_CA" description:"file with the authorities that peers, operators and callers are verified against, in PEM form"`
+	KeysCheck time.Duration `long:"keys-check" env:"BANYANRUN_KEYS_CHECK" description:"time between two checks of these files for changes; 10s if 0"`
+	Insecure  bool          `long:"insecure" env:"BANYANRUN_INSECURE" description:"serve without TLS and let everybody do everything"`
+
 	Seed     uint64 `long:"seed" env:"BANYANRUN_SEED" description:"seed of the reducer's random draws; the time of the start if zero"`
 	Record   string `long:"record" env:"BANYANRUN_RECORD" description:"file that every event and its effects are recorded to, for banyanrun-replay"`
 	LogLevel string `long:"log-level" env:"BANYANRUN_LOG_LEVEL" default:"info" description:"debug, info, warn or error"`
@@ -73,9 +86,32 @@
 			return &SettingError{a.setting, a.value, "ip:port"}
 		}
 	}
+	if err := s.checkKeys(); err != nil {
+		return err
+	}
 	return s.checkNumbers()
 }
 
+// Files returns the names of the certificate's files.
+func (s *Settings) Files() keys.Files { return keys.Files{Cert: s.Cert, Key: s.Key, CA: s.CA} }
+
+// checkKeys demands either all files of the certificate or --insecure.
+func (s *Settings) checkKeys() error {
+	switch files := s.Files(); {
+	case s.Insecure && files.Given():
+		return &SettingError{"insecure", "true", "not together with --cert, --key and --ca"}
+	case !s.Insecure && !files.Complete():
+		return &SettingError{
+			"cert, --key, --ca", strings.Join([]string{s.Cert, s.Key, s.CA}, ","),
+			"a file for each (BANYANRUN_CERT, BANYANRUN_KEY, BANYANRUN_CA), or --insecure (BANYANRUN_INSECURE) to serve without TLS",
+		}
+	}
+	if s.KeysCheck == 0 {
+		s.KeysCheck = defaultKeysCheck
+	}
+	return nil
+}
+
 // checkNumbers checks durations and counts.
 func (s *Settings) checkNumbers() error {
 	for _, d := range []struct {
@@ -88,6 +124,7 @@
 		{"sync-wait", s.SyncWait, 100 * time.Millisecond, time.Minute},
 		{"store-timeout", s.StoreTimeout, 10 * time.Millisecond, time.Minute},
 		{"worker-timeout", s.WorkerTimeout, 10 * time.Millisecond, time.Minute},
+		{"keys-check", s.KeysCheck, 10 * time.Millisecond, time.Hour},
 		{"drain-timeout", s.DrainTimeout, time.Second, time.Hour},
 	} {
 		if d.value < d.least || d.value > d.top {
@@ -103,6 +140,12 @@
 	if s.MaxRequests < 1 || s.MaxRequests > 1<<20 {
 		return &SettingError{"max-requests", fmt.Sprint(s.MaxRequests), "1 to 1048576"}
 	}
+	if s.MaxConnections == 0 {
+		s.MaxConnections = 2 * s.MaxRequests
+	}
+	if s.MaxConnections < 1 || s.MaxConnections > 1<<21 {
+		return &SettingError{"max-connections", fmt.Sprint(s.MaxConnections), "1 to 2097152"}
+	}
 	return nil
 }
 
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -28,6 +28,9 @@
 	HeaderReason    = "Banyanrun-Reason"
 	HeaderWorker    = "Banyanrun-Worker"
 	HeaderForwarded = "Banyanrun-Forwarded"
+	// HeaderForwardedFor is the JSON form of the core.Identity whose request
+	// an entry host forwards.
+	HeaderForwardedFor = "Banyanrun-Forwarded-For"
 	// HeaderDigest is the xxhash64 of the whole answer body, in hexadecimal.
 	HeaderDigest = "Banyanrun-Digest"
 )
