Add package virtual: a fake of the surroundings of core in virtual time

Cause: faults in package core show only when several reducers, the store and the workers meet, and real processes make such runs slow and not repeatable.

Change: virtual.Cluster connects entry hosts' reducers with the stand-in's reducers by a time-ordered queue, injects faults, and keeps accounts at the workers' ledgers and at the callers.

--- /dev/null
+++ b/virtual/callers.go
@@ -0,0 +1,193 @@
+package virtual
+
+import (
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+// callerRetry is how long a caller waits before it asks again.
+const callerRetry = time.Second
+
+// Job is a submitted job and what its caller was told.
+type Job struct {
+	ID      core.JobID
+	Team    core.TeamName
+	Kind    core.KindName
+	Program worker.Program
+	// Host is where the job is submitted first.
+	Host core.HostID
+	// Unfollowed jobs are not asked for after their acceptance.
+	Unfollowed bool
+	// Deadline bounds the time from submit to the final outcome; the caller
+	// gives up asking Patience after it.
+	Deadline time.Duration
+	Patience time.Duration
+
+	Submitted core.Time
+	// Accepted and Ended are zero until the caller was told.
+	Accepted core.Time
+	Ended    core.Time
+	State    core.JobState
+	// Refusal is the refusal of the submit or that of the final status.
+	Refusal *core.Refusal
+	// SaidNotRun is set once any answer said that the job has not run.
+	SaidNotRun bool
+	// Unknown counts answers after the acceptance that did not know the job.
+	Unknown int
+	// Changed is set if two answers gave different final states.
+	Changed bool
+}
+
+// Submit submits a job. Its caller asks again after a broken connection or an
+// answer that leaves open whether the job was accepted, and then waits for the
+// outcome.
+func (c *Cluster) Submit(j Job) *Job {
+	job := &j
+	job.Submitted = c.now
+	if c.jobs[job.ID] == nil {
+		c.ids = append(c.ids, job.ID)
+	}
+	c.jobs[job.ID] = job
+	c.submitAt(job, job.Host)
+	return job
+}
+
+func (c *Cluster) submitAt(job *Job, id core.HostID) {
+	h := c.hosts[id]
+	event := func(rid core.RequestID, forwarded bool) core.EventBody {
+		return core.Submitted{Request: rid, Forwarded: forwarded, Spec: core.JobSpec{
+			ID: job.ID, Team: job.Team, Kind: job.Kind, Origin: h.cell.DataCentre, Submitted: c.now,
+			Digest: core.Digest(job.Team, job.Kind, nil),
+		}}
+	}
+	c.request(h, event, func(reply core.Reply, ok bool) {
+		switch {
+		case ok && reply.Status != nil:
+			if job.Accepted == 0 {
+				job.Accepted = c.now
+			}
+			c.noteStatus(job, reply.Status)
+			c.follow(job)
+		case ok && reply.Refusal.Verdict == core.NotRun:
+			job.Refusal, job.SaidNotRun = reply.Refusal, true
+			job.Ended, job.State = c.now, core.JobRefused
+		case !job.expired(c.now):
+			c.After(callerRetry, func() { c.submitAt(job, c.anyHost(h)) })
+		}
+	})
+}
+
+// expired reports whether the caller no longer asks.
+func (j *Job) expired(now core.Time) bool { return now.Sub(j.Submitted) > j.Deadline+j.Patience }
+
+// follow waits for the outcome of an accepted job.
+func (c *Cluster) follow(job *Job) {
+	if job.Ended != 0 || job.Unfollowed || job.expired(c.now) {
+		return
+	}
+	event := func(id core.RequestID, forwarded bool) core.EventBody {
+		return core.StatusRequested{Request: id, Job: job.ID, Wait: true, Forwarded: forwarded}
+	}
+	c.request(c.hosts[c.anyHost(c.hosts[job.Host])], event, func(reply core.Reply, ok bool) {
+		switch {
+		case !ok:
+		case reply.Status != nil:
+			c.noteStatus(job, reply.Status)
+		case reply.Refusal.Reason == core.ReasonUnknownJob:
+			job.Unknown++
+		}
+		if job.Ended == 0 {
+			c.After(callerRetry, func() { c.follow(job) })
+		}
+	})
+}
+
+// noteStatus takes over a status that the caller was given.
+func (c *Cluster) noteStatus(job *Job, s *core.JobStatus) {
+	if !s.Finished {
+		return
+	}
+	job.Changed = job.Changed || job.Ended != 0 && job.State != s.State
+	if job.Ended == 0 {
+		job.Ended = c.now
+	}
+	job.State, job.Refusal = s.State, s.Refusal
+	job.SaidNotRun = job.SaidNotRun || s.Verdict == core.NotRun
+}
+
+// Cancel asks a host to cancel a job.
+func (c *Cluster) Cancel(id core.JobID, at core.HostID) {
+	event := func(rid core.RequestID, forwarded bool) core.EventBody {
+		return core.CancelRequested{Request: rid, Job: id, Forwarded: forwarded}
+	}
+	c.request(c.hosts[at], event, func(reply core.Reply, ok bool) {
+		if job := c.jobs[id]; ok && reply.Status != nil && job != nil {
+			c.noteStatus(job, reply.Status)
+		}
+	})
+}
+
+// Edit is an operator's edit and what the operator was told.
+type Edit struct {
+	Document core.Document
+	Base     core.Revision
+	Author   string
+	Host     core.HostID
+	Done     bool
+	Applied  *core.DocumentVersion
+	Conflict *core.DocumentVersion
+	Refusal  *core.Refusal
+}
+
+// Edit proposes a document at a host.
+func (c *Cluster) Edit(e Edit) *Edit {
+	out := &e
+	c.edits = append(c.edits, out)
+	event := func(id core.RequestID, _ bool) core.EventBody {
+		return core.DocumentProposed{Request: id, Document: out.Document, Base: out.Base, Author: out.Author}
+	}
+	c.request(c.hosts[out.Host], event, func(reply core.Reply, ok bool) {
+		out.Done = ok
+		out.Applied, out.Conflict, out.Refusal = reply.Applied, reply.Conflict, reply.Refusal
+	})
+	return out
+}
+
+// request sends a caller's request; ok is false if the connection broke.
+func (c *Cluster) request(h *host, event eventFor, done func(reply core.Reply, ok bool)) {
+	c.ask(Callers, Party(h.id), 2*requestWait, func(id uint64) {
+		h.runIn(h.life, func() { h.serve(id, event, false) })
+	}, func(body any, f failure) {
+		reply, _ := body.(core.Reply)
+		done(reply, f == answered)
+	})
+}
+
+// anyHost returns a random live host of the same data centre, as the load
+// balancer in front of them does.
+func (c *Cluster) anyHost(of *host) core.HostID {
+	var live []core.HostID
+	for _, h := range c.hostList {
+		if h.alive && h.cell.DataCentre == of.cell.DataCentre {
+			live = append(live, h.id)
+		}
+	}
+	if len(live) == 0 {
+		return of.id
+	}
+	return live[c.rng.IntN(len(live))]
+}
+
+// Drain begins a planned stop of a host.
+func (c *Cluster) Drain(id core.HostID) {
+	h := c.hosts[id]
+	h.runIn(h.life, func() { h.post(core.DrainRequested{}) })
+}
+
+// Drained reports whether a planned stop is complete.
+func (c *Cluster) Drained(id core.HostID) bool { return c.hosts[id].stopped }
+
+// Ready reports whether a host says that it is ready.
+func (c *Cluster) Ready(id core.HostID) bool { return c.hosts[id].ready }
--- /dev/null
+++ b/virtual/cluster.go
@@ -0,0 +1,216 @@
+package virtual
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Epoch0 is the time at which a run begins.
+const Epoch0 = core.Time(1_800_000_000 * int64(time.Second))
+
+// Party names one end of a message: a host, a worker, Store or Callers.
+type Party string
+
+// The parties that are neither hosts nor workers.
+const (
+	Store   Party = "store"
+	Callers Party = "callers"
+)
+
+// Cell describes one data centre.
+type Cell struct {
+	DataCentre core.DataCentre
+	Region     core.Region
+	Hosts      []core.HostID
+	// Workers need an ID, a Rack and a Capacity; the rest is filled in.
+	Workers []core.ListedWorker
+}
+
+// Config describes a cluster. The zero value of a duration is replaced by its
+// default.
+type Config struct {
+	Seed  uint64
+	Cells []Cell
+	// Documents are in the store from the start.
+	Documents []core.Document
+	// HostDelay, StoreDelay and WorkerDelay are one-way delays from an entry
+	// host to another one, to the store and to a worker.
+	HostDelay   time.Duration
+	StoreDelay  time.Duration
+	WorkerDelay time.Duration
+	// Jitter is added to each delay, drawn uniformly up to it.
+	Jitter time.Duration
+	// HostListLag is the lag of the platform's host list.
+	HostListLag time.Duration
+	// UsageLag is the lag of usage reports.
+	UsageLag time.Duration
+	Limits   store.Limits
+	// Tune, if set, changes the settings of each reducer.
+	Tune func(*core.Config)
+	// Step, if set, replaces the call of Reducer.Step, to measure it.
+	Step func(host core.HostID, r *core.Reducer, e core.Event) []core.Effect
+	// Watch, if set, sees every step with its effects.
+	Watch func(host core.HostID, e core.Event, effects []core.Effect)
+}
+
+// Defaults of Config.
+const (
+	DefaultHostDelay   = time.Millisecond
+	DefaultStoreDelay  = 2 * time.Millisecond
+	DefaultWorkerDelay = time.Millisecond
+	DefaultHostListLag = 2 * time.Second
+	DefaultUsageLag    = 5 * time.Second
+)
+
+// Cluster is a run. It is not safe for concurrent use.
+type Cluster struct {
+	cfg        Config
+	now        core.Time
+	queue      queue
+	order      uint64
+	rng        *rand.Rand
+	links      map[link]*linkFault
+	open       map[uint64]*exchange
+	last       uint64
+	hosts      map[core.HostID]*host
+	hostList   []*host
+	workers    map[core.WorkerID]*upstream
+	workerList []*upstream
+	store      platform
+	jobs       map[core.JobID]*Job
+	ids        []core.JobID
+	calls      []*Call
+	edits      []*Edit
+	counts     Counts
+	reverts    []Revert
+}
+
+// New builds a cluster and starts its hosts.
+func New(cfg Config) *Cluster {
+	setDefault(&cfg.HostDelay, DefaultHostDelay)
+	setDefault(&cfg.StoreDelay, DefaultStoreDelay)
+	setDefault(&cfg.WorkerDelay, DefaultWorkerDelay)
+	setDefault(&cfg.HostListLag, DefaultHostListLag)
+	setDefault(&cfg.UsageLag, DefaultUsageLag)
+	c := &Cluster{
+		cfg: cfg, now: Epoch0, rng: rand.New(rand.NewPCG(cfg.Seed, 1)),
+		links: map[link]*linkFault{}, open: map[uint64]*exchange{},
+		hosts: map[core.HostID]*host{}, workers: map[core.WorkerID]*upstream{},
+		jobs: map[core.JobID]*Job{}, counts: newCounts(),
+	}
+	list := wire.HostList{}
+	for _, cell := range cfg.Cells {
+		for _, w := range cell.Workers {
+			c.addWorker(cell, w)
+			list.Workers = append(list.Workers, listedWorker(cell, w))
+		}
+		for _, id := range cell.Hosts {
+			c.addHost(cell, id)
+			list.Hosts = append(list.Hosts, listedHost(cell, id))
+		}
+	}
+	c.store = newPlatform(cfg, list)
+	for i := range cfg.Documents {
+		c.store.seed(c, &cfg.Documents[i])
+	}
+	for _, h := range c.hostList {
+		h.start()
+	}
+	return c
+}
+
+func setDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func listedWorker(cell Cell, w core.ListedWorker) wire.ListedWorker {
+	return wire.ListedWorker{
+		ID: string(w.ID), Address: string(w.ID), Rack: w.Rack, DataCentre: string(cell.DataCentre),
+		Region: string(cell.Region), Capacity: wire.FromResources(w.Capacity),
+	}
+}
+
+func listedHost(cell Cell, id core.HostID) wire.ListedHost {
+	return wire.ListedHost{
+		ID: string(id), Address: string(id),
+		DataCentre: string(cell.DataCentre), Region: string(cell.Region),
+	}
+}
+
+// Now returns the virtual time.
+func (c *Cluster) Now() core.Time { return c.now }
+
+// RunFor runs everything that happens within d.
+func (c *Cluster) RunFor(d time.Duration) { c.RunUntil(c.now.Add(d)) }
+
+// RunUntil runs everything that happens up to t.
+func (c *Cluster) RunUntil(t core.Time) {
+	for {
+		a, ok := c.queue.next(t)
+		if !ok {
+			break
+		}
+		c.now = max(c.now, a.at)
+		a.run()
+	}
+	c.now = max(c.now, t)
+}
+
+// RunWhile runs until cond no longer holds, at most for limit. It reports
+// whether cond ended.
+func (c *Cluster) RunWhile(limit time.Duration, cond func() bool) bool {
+	until := c.now.Add(limit)
+	for cond() {
+		a, ok := c.queue.next(until)
+		if !ok {
+			c.now = max(c.now, until)
+			return !cond()
+		}
+		c.now = max(c.now, a.at)
+		a.run()
+	}
+	return true
+}
+
+// At runs f at t.
+func (c *Cluster) At(t core.Time, f func()) {
+	c.order++
+	c.queue.add(action{at: max(t, c.now), order: c.order, run: f})
+}
+
+// After runs f in d from now.
+func (c *Cluster) After(d time.Duration, f func()) { c.At(c.now.Add(d), f) }
+
+// Owner returns the active owner of a data centre with the highest epoch, or an
+// empty id.
+func (c *Cluster) Owner(dc core.DataCentre) core.HostID {
+	var owner core.HostID
+	var epoch core.Epoch
+	for _, h := range c.hostList {
+		if !h.alive || h.paused || h.cell.DataCentre != dc {
+			continue
+		}
+		if v := h.view(); v.Owner && v.Epoch > epoch {
+			owner, epoch = h.id, v.Epoch
+		}
+	}
+	return owner
+}
+
+// upstream is what the cluster keeps of one worker.
+type upstream struct {
+	id      core.WorkerID
+	reducer *worker.Reducer
+	faults  worker.Faults
+	alive   bool
+	// wake is the generation of the latest WakeAt.
+	wake uint64
+	next uint64
+}
--- /dev/null
+++ b/virtual/faults.go
@@ -0,0 +1,146 @@
+package virtual
+
+import (
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+// KillHost ends a host at once. What it has sent still arrives.
+func (c *Cluster) KillHost(id core.HostID) {
+	h := c.hosts[id]
+	h.alive, h.ready = false, false
+	c.breakExchanges(Party(id))
+}
+
+// RestartHost begins a new incarnation of a host.
+func (c *Cluster) RestartHost(id core.HostID) {
+	if c.hosts[id].alive {
+		c.KillHost(id)
+	}
+	c.hosts[id].start()
+}
+
+// PauseHost stops a host's process until ResumeHost.
+func (c *Cluster) PauseHost(id core.HostID) { c.hosts[id].paused = true }
+
+// ResumeHost ends a pause.
+func (c *Cluster) ResumeHost(id core.HostID) { c.hosts[id].resume() }
+
+// PauseHostAt pauses a host for d at its next effect for which match holds,
+// before that effect is carried out.
+func (c *Cluster) PauseHostAt(id core.HostID, d time.Duration, match func(core.Effect) bool) {
+	h := c.hosts[id]
+	h.pauseAt, h.pauseFor = match, d
+}
+
+// LoseStoreAnswers loses the next n answers of the store to operations with a
+// purpose. The operations take effect.
+func (c *Cluster) LoseStoreAnswers(p core.Purpose, n int) { c.store.loseAnswers[p] = n }
+
+// SetOutage sets the way in which the store is down.
+func (c *Cluster) SetOutage(o store.Outage) {
+	c.store.faults.Outage = o
+	c.store.step(c, store.FaultsSet{Faults: c.store.faults})
+}
+
+// SlowStore holds back every answer of the store.
+func (c *Cluster) SlowStore(d time.Duration) {
+	c.store.faults.DelayMS = d.Milliseconds()
+	c.store.step(c, store.FaultsSet{Faults: c.store.faults})
+}
+
+// StaleStore serves reads of the store with data of this age.
+func (c *Cluster) StaleStore(age time.Duration) {
+	c.store.faults.StaleMS = age.Milliseconds()
+	c.store.step(c, store.FaultsSet{Faults: c.store.faults})
+}
+
+func (c *Cluster) fault(from, to Party) *linkFault {
+	f := c.links[link{from, to}]
+	if f == nil {
+		f = &linkFault{}
+		c.links[link{from, to}] = f
+	}
+	return f
+}
+
+// Drop drops every message from one party to another, or no longer does.
+func (c *Cluster) Drop(from, to Party, on bool) { c.fault(from, to).drop = on }
+
+// DropNext drops the next n messages from one party to another.
+func (c *Cluster) DropNext(from, to Party, n int) { c.fault(from, to).dropNext = n }
+
+// Delay adds to the delay from one party to another.
+func (c *Cluster) Delay(from, to Party, d time.Duration) { c.fault(from, to).delay = d }
+
+// Repeat delivers every message from one party to another twice.
+func (c *Cluster) Repeat(from, to Party, on bool) { c.fault(from, to).repeat = on }
+
+// Cut drops every message between the parties of two groups, or no longer does.
+func (c *Cluster) Cut(a, b []Party, on bool) {
+	for _, x := range a {
+		for _, y := range b {
+			c.Drop(x, y, on)
+			c.Drop(y, x, on)
+		}
+	}
+}
+
+// KillWorker ends a worker and its tasks.
+func (c *Cluster) KillWorker(id core.WorkerID) {
+	w := c.workers[id]
+	w.alive = false
+	c.stepWorker(w, worker.Killed{})
+	c.breakExchanges(Party(id))
+}
+
+// RestartWorker begins a new incarnation of a worker.
+func (c *Cluster) RestartWorker(id core.WorkerID) {
+	w := c.workers[id]
+	c.breakExchanges(Party(id))
+	w.alive = true
+	w.next += restartGap
+	c.stepWorker(w, worker.Restarted{Incarnation: w.next})
+}
+
+// SilenceWorker makes a worker accept requests without carrying them out or
+// answering, or no longer do so. Its tasks run on.
+func (c *Cluster) SilenceWorker(id core.WorkerID, on bool) {
+	w := c.workers[id]
+	w.faults.Silent = on
+	c.stepWorker(w, worker.FaultsSet{Faults: w.faults})
+}
+
+// MuteWorker makes a worker carry out requests without answering, or no longer
+// do so.
+func (c *Cluster) MuteWorker(id core.WorkerID, on bool) {
+	w := c.workers[id]
+	w.faults.Mute = on
+	c.stepWorker(w, worker.FaultsSet{Faults: w.faults})
+}
+
+// FailWorker makes a worker fail everything it starts, or no longer do so.
+func (c *Cluster) FailWorker(id core.WorkerID, on bool) {
+	w := c.workers[id]
+	w.faults.FailAll = on
+	c.stepWorker(w, worker.FaultsSet{Faults: w.faults})
+}
+
+// LeaveWorker marks a worker as leaving in the host list, or removes it.
+func (c *Cluster) LeaveWorker(id core.WorkerID, gone bool) {
+	c.store.step(c, store.WorkerLeft{ID: string(id), Gone: gone})
+}
+
+// LeaveHost marks a host as leaving in the host list, or removes it.
+func (c *Cluster) LeaveHost(id core.HostID, gone bool) {
+	c.store.step(c, store.HostLeft{ID: string(id), Gone: gone})
+}
+
+// ListHost enters a host into the host list again.
+func (c *Cluster) ListHost(id core.HostID) {
+	h := c.hosts[id]
+	c.store.step(c, store.HostListed{Host: listedHost(h.cell, id)})
+}
--- /dev/null
+++ b/virtual/platform.go
@@ -0,0 +1,192 @@
+package virtual
+
+import (
+	"encoding/binary"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/wire"
+)
+
+const (
+	// storeTimeout, workerTimeout and watchWait are the defaults of the entry
+	// daemon.
+	storeTimeout  = 2 * time.Second
+	workerTimeout = 5 * time.Second
+	watchWait     = 30 * time.Second
+)
+
+// platform wraps the reducer of the platform's store and host list. The store
+// holds handles of values instead of their encoded form.
+type platform struct {
+	reducer *store.Reducer
+	faults  store.Faults
+	values  []core.Value
+	wake    uint64
+	// loseAnswers counts the answers to lose by purpose.
+	loseAnswers map[core.Purpose]int
+}
+
+func newPlatform(cfg Config, list wire.HostList) platform {
+	faults := store.Faults{HostLagMS: cfg.HostListLag.Milliseconds()}
+	return platform{
+		reducer: store.New(cfg.Limits, faults, list), faults: faults, loseAnswers: map[core.Purpose]int{},
+	}
+}
+
+// handle keeps a value and returns its stand-in in the store.
+func (p *platform) handle(v core.Value) []byte {
+	p.values = append(p.values, v)
+	return binary.BigEndian.AppendUint64(nil, uint64(len(p.values)-1))
+}
+
+// seed writes a document before the run begins.
+func (p *platform) seed(c *Cluster, d *core.Document) {
+	rec := core.DocumentRecord{Current: core.DocumentVersion{Document: *d, Author: "seed", Time: c.now}}
+	p.step(c, store.Asked{Call: store.Put{Key: "documents/" + string(d.Team), Value: p.handle(rec)}})
+}
+
+// document reads a team's document from the store.
+func (p *platform) document(c *Cluster, team core.TeamName) core.DocumentRecord {
+	for _, f := range p.reducer.Step(store.Event{
+		At: c.now, Body: store.Asked{Call: store.Get{Key: "documents/" + string(team)}},
+	}) {
+		if a, ok := f.(store.Answer); ok {
+			if item, ok := a.Body.(wire.Item); ok {
+				rec, _ := p.item(item).Value.(core.DocumentRecord)
+				return rec
+			}
+		}
+	}
+	return core.DocumentRecord{}
+}
+
+// step applies one event and carries out its effects.
+func (p *platform) step(c *Cluster, body store.EventBody) {
+	for _, f := range p.reducer.Step(store.Event{At: c.now, Body: body}) {
+		switch f := f.(type) {
+		case store.Answer:
+			c.answerStore(f)
+		case store.WakeAt:
+			p.wake++
+			wake := p.wake
+			c.At(f.At, func() {
+				if wake == p.wake {
+					p.step(c, store.Elapsed{})
+				}
+			})
+		case store.WorkerShown:
+			c.shown(core.WorkerID(f.ID), f.Leaving)
+		}
+	}
+}
+
+func (p *platform) abandon(c *Cluster, id uint64) {
+	p.step(c, store.Abandoned{Request: store.RequestID(id)})
+}
+
+// answerStore sends an answer of the store.
+func (c *Cluster) answerStore(a store.Answer) {
+	f := answered
+	if a.Lost {
+		f = broken
+	}
+	c.answer(uint64(a.Request), a, f, a.Delay)
+}
+
+// call sends a call to the store and posts its result.
+func (c *Cluster) call(h *host, op core.StoreOp, call store.Call) {
+	c.counts.Store[op.Purpose]++
+	timeout := storeTimeout
+	if w, ok := call.(store.Watch); ok {
+		timeout += w.Wait
+	}
+	c.ask(Party(h.id), Store, timeout, func(id uint64) {
+		c.store.step(c, store.Asked{Request: store.RequestID(id), Call: call})
+	}, func(body any, f failure) {
+		if f == answered && c.store.loseAnswers[op.Purpose] > 0 {
+			c.store.loseAnswers[op.Purpose]--
+			f = broken
+		}
+		h.post(c.storeAnswered(op, call, body, f))
+	})
+}
+
+// storeAnswered converts an answer as the client of the store does.
+func (c *Cluster) storeAnswered(op core.StoreOp, call store.Call, body any, f failure) core.StoreAnswered {
+	out := core.StoreAnswered{Op: op}
+	switch f {
+	case notWritten:
+		out.Outcome = core.StoreNotSent
+		return out
+	case broken:
+		out.Outcome = core.StoreInDoubt
+		return out
+	}
+	a := body.(store.Answer)
+	switch a.Status {
+	case store.NotFound:
+		out.Outcome = core.StoreNotFound
+	case store.Conflict:
+		out.Outcome = core.StoreConflict
+	case store.TooLarge, store.RateLimited, store.Unavailable:
+		out.Outcome = core.StoreNotSent
+		return out
+	}
+	switch b := a.Body.(type) {
+	case wire.Item:
+		out.Revision = b.Revision
+		if b.Revision != 0 {
+			out.Items = []core.StoreItem{c.store.item(b)}
+		}
+	case wire.ItemList:
+		out.Revision = b.Revision
+		for _, item := range b.Items {
+			out.Items = append(out.Items, c.store.item(item))
+		}
+	case wire.PutResponse:
+		out.Revision = b.Revision
+	case wire.LeaseResponse:
+		out.Lease = core.LeaseID(b.ID)
+	}
+	if revoke, ok := call.(store.Revoke); ok {
+		out.Lease = core.LeaseID(revoke.Lease)
+	}
+	return out
+}
+
+// item replaces a handle by its value.
+func (p *platform) item(i wire.Item) core.StoreItem {
+	return core.StoreItem{Key: i.Key, Value: p.values[binary.BigEndian.Uint64(i.Value)], Revision: i.Revision}
+}
+
+// listHosts reads the host list. A failed read posts nothing.
+func (c *Cluster) listHosts(h *host) {
+	c.counts.HostLists++
+	c.ask(Party(h.id), Store, storeTimeout, func(id uint64) {
+		c.store.step(c, store.Asked{Request: store.RequestID(id), Call: store.Hosts{}})
+	}, func(body any, f failure) {
+		if f == answered {
+			h.post(hostsListed(body.(store.Answer).Body.(wire.HostList)))
+		}
+	})
+}
+
+func hostsListed(list wire.HostList) core.HostsListed {
+	var out core.HostsListed
+	for _, w := range list.Workers {
+		out.Workers = append(out.Workers, core.ListedWorker{
+			ID: core.WorkerID(w.ID), Address: w.Address, Rack: w.Rack,
+			DataCentre: core.DataCentre(w.DataCentre), Region: core.Region(w.Region),
+			Capacity: w.Capacity.Core(), Leaving: w.Leaving,
+		})
+	}
+	for _, l := range list.Hosts {
+		out.Hosts = append(out.Hosts, core.ListedHost{
+			ID: core.HostID(l.ID), Address: l.Address, Leaving: l.Leaving,
+			DataCentre: core.DataCentre(l.DataCentre), Region: core.Region(l.Region),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/virtual/traffic.go
@@ -0,0 +1,190 @@
+package virtual
+
+import (
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+const (
+	// reportPeriod and reportSpacing are those of the entry daemon.
+	reportPeriod  = time.Second
+	reportSpacing = 50 * time.Millisecond
+)
+
+// traffic is the traffic side of a host: its grants and the calls on them.
+type traffic struct {
+	pool    *core.GrantPool
+	waiting []*callRun
+	// reporting is set while a report of use is due.
+	reporting bool
+}
+
+func newTraffic() traffic { return traffic{pool: core.NewGrantPool()} }
+
+// Call is an interactive request and what its caller was told.
+type Call struct {
+	ID      string
+	Team    core.TeamName
+	Kind    core.KindName
+	Host    core.HostID
+	Program worker.Program
+	Began   core.Time
+	Ended   core.Time
+	// Refusal is the caller's answer, or nil if the call succeeded. A broken
+	// connection counts as one with verdict MayHaveRun.
+	Refusal *core.Refusal
+	Worker  core.WorkerID
+}
+
+// callRun is a call in progress at its host.
+type callRun struct {
+	h        *host
+	call     *Call
+	plan     *core.CallPlan
+	exchange uint64
+	step     core.CallStep
+	done     bool
+}
+
+// Call makes an interactive request at a host.
+func (c *Cluster) Call(call Call) *Call {
+	out := &call
+	out.Began = c.now
+	c.calls = append(c.calls, out)
+	h := c.hosts[out.Host]
+	c.ask(Callers, Party(out.Host), 2*requestWait, func(id uint64) {
+		h.runIn(h.life, func() { h.beginCall(out, id) })
+	}, func(body any, f failure) {
+		out.Ended = c.now
+		switch f {
+		case answered:
+			out.Refusal, _ = body.(*core.Refusal)
+		case notWritten:
+			out.Refusal = &core.Refusal{Reason: core.ReasonPeer, Verdict: core.NotRun}
+		case broken:
+			out.Refusal = &core.Refusal{Reason: core.ReasonPeer, Verdict: core.MayHaveRun}
+		}
+	})
+	return out
+}
+
+// beginCall starts the plan of a call.
+func (h *host) beginCall(call *Call, exchange uint64) {
+	rules, ok := h.traffic.pool.Rules(call.Team, call.Kind)
+	if !ok {
+		h.c.answer(exchange, &core.Refusal{Reason: core.ReasonUnknownKind}, answered, 0)
+		return
+	}
+	run := &callRun{h: h, call: call, exchange: exchange, plan: &core.CallPlan{Rules: rules, Began: h.c.now}}
+	run.next(run.plan.First())
+	h.after(rules.Deadline, func() {
+		if i := slices.Index(h.traffic.waiting, run); i >= 0 {
+			h.traffic.waiting = slices.Delete(h.traffic.waiting, i, i+1)
+			h.traffic.pool.Wait(call.Team, call.Kind, -1)
+			run.next(run.plan.NoSlot(core.ReasonNoCapacity))
+		}
+	})
+}
+
+// next carries out one step of the plan.
+func (run *callRun) next(step core.CallStep) {
+	if run.done {
+		return
+	}
+	run.step = step
+	if step.Act == core.CallRefuse {
+		run.done = true
+		run.h.c.answer(run.exchange, step.Refusal, answered, 0)
+		return
+	}
+	run.h.after(step.Wait, run.take)
+}
+
+// take takes a slot or waits for one.
+func (run *callRun) take() {
+	h, t := run.h, &run.h.traffic
+	if h.c.now >= run.plan.Deadline() {
+		run.next(run.plan.NoSlot(core.ReasonDeadline))
+		return
+	}
+	h.notify()
+	if ticket, ok := t.pool.Take(h.c.now, run.call.Team, run.call.Kind, run.step.Avoid); ok {
+		run.attempt(ticket)
+		return
+	}
+	if !t.pool.Wait(run.call.Team, run.call.Kind, 1) {
+		run.next(run.plan.NoSlot(core.ReasonQueueFull))
+		return
+	}
+	t.waiting = append(t.waiting, run)
+}
+
+// attempt sends the call to a worker.
+func (run *callRun) attempt(t core.Ticket) {
+	h, began := run.h, run.h.c.now
+	limit := run.plan.Deadline().Sub(began)
+	if p := run.plan.Rules.ProgressTimeout; p > 0 {
+		limit = min(limit, p)
+	}
+	attempt := run.step.Attempt
+	h.c.askWorker(h, t.Worker, limit-workerTimeout, func(id worker.RequestID) worker.EventBody {
+		return worker.CallAsked{
+			Request: id, Epoch: t.Epoch, RequestID: run.call.ID, Attempt: attempt,
+			Team: run.call.Team, Kind: run.call.Kind, Program: run.call.Program,
+		}
+	}, func(body any, e *workerError) {
+		result, ok := body.(worker.CallResult)
+		if e == nil && (!ok || result.RequestID != run.call.ID || result.Attempt != attempt) {
+			e = &workerError{verdict: core.MayHaveRun, reason: core.ReasonUpstream}
+		}
+		h.traffic.pool.Return(t, e == nil, h.c.now.Sub(began))
+		h.notify()
+		h.serveWaiting()
+		if e == nil {
+			run.done, run.call.Worker = true, t.Worker
+			h.c.answer(run.exchange, result, answered, 0)
+			return
+		}
+		run.next(run.plan.Failed(h.c.now, core.AttemptResult{
+			Worker: t.Worker, Verdict: e.verdict, Reason: e.reason,
+			BudgetLeft: h.traffic.pool.SpendRetry(t.Team, t.Kind), Jitter: h.c.rng.Float64(),
+		}))
+	})
+}
+
+// setGrants replaces the grants and serves waiting calls from them.
+func (h *host) setGrants(s core.SetGrants) {
+	h.traffic.pool.Set(s)
+	h.serveWaiting()
+}
+
+// serveWaiting hands free slots to waiting calls in the order of their arrival.
+func (h *host) serveWaiting() {
+	t := &h.traffic
+	t.waiting = slices.DeleteFunc(t.waiting, func(run *callRun) bool {
+		ticket, ok := t.pool.Take(h.c.now, run.call.Team, run.call.Kind, run.step.Avoid)
+		if ok {
+			t.pool.Wait(run.call.Team, run.call.Kind, -1)
+			run.attempt(ticket)
+		}
+		return ok
+	})
+}
+
+// notify reports the use of grants soon.
+func (h *host) notify() {
+	if h.traffic.reporting {
+		return
+	}
+	h.traffic.reporting = true
+	h.after(reportSpacing, h.report)
+}
+
+// report tells the reducer of the use of grants.
+func (h *host) report() {
+	h.traffic.reporting = false
+	h.post(h.traffic.pool.Report())
+}
--- /dev/null
+++ b/virtual/upstream.go
@@ -0,0 +1,156 @@
+package virtual
+
+import (
+	"fmt"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// restartGap is added to a worker's incarnation at a restart, so that it exceeds
+// every sequence number of the earlier one.
+const restartGap = 1 << 32
+
+// defaultRunMS is the run time of a task without a program, for example of a
+// replica.
+const defaultRunMS = 3_600_000
+
+// retain is how long an ended task stays in a worker's ledger.
+const retain = 10 * time.Minute
+
+func (c *Cluster) addWorker(cell Cell, l core.ListedWorker) {
+	w := &upstream{id: l.ID, alive: true, next: restartGap}
+	w.reducer = worker.New(worker.Config{
+		ID: string(l.ID), Capacity: l.Capacity, UsageLag: c.cfg.UsageLag, Retain: retain, Incarnation: w.next,
+	})
+	c.workers[l.ID] = w
+	c.workerList = append(c.workerList, w)
+}
+
+// stepWorker applies one event to a worker and carries out its effects.
+func (c *Cluster) stepWorker(w *upstream, body worker.EventBody) {
+	for _, f := range w.reducer.Step(worker.Event{At: c.now, Body: body}) {
+		switch f := f.(type) {
+		case worker.Answer:
+			fail := answered
+			if f.Truncate {
+				fail = broken
+			}
+			c.answer(uint64(f.Request), f.Body, fail, f.Delay)
+		case worker.WakeAt:
+			w.wake++
+			wake := w.wake
+			c.At(f.At, func() {
+				if wake == w.wake {
+					c.stepWorker(w, worker.Elapsed{})
+				}
+			})
+		}
+	}
+}
+
+func (c *Cluster) abandonAtWorker(w *upstream, id uint64) {
+	c.stepWorker(w, worker.Abandoned{Request: worker.RequestID(id)})
+}
+
+func (c *Cluster) shown(id core.WorkerID, leaving bool) {
+	if w := c.workers[id]; w != nil {
+		c.stepWorker(w, worker.Shown{Leaving: leaving})
+	}
+}
+
+// askWorker sends a request to a worker. done gets the refusal or the failure,
+// if there is one, and the body otherwise.
+func (c *Cluster) askWorker(h *host, to core.WorkerID, extra time.Duration, body func(id worker.RequestID) worker.EventBody, done func(body any, failed *workerError)) {
+	timeout := workerTimeout + extra
+	c.ask(Party(h.id), Party(to), timeout, func(id uint64) {
+		if w := c.workers[to]; w != nil {
+			c.stepWorker(w, body(worker.RequestID(id)))
+		}
+	}, func(body any, f failure) {
+		switch f {
+		case notWritten:
+			done(nil, &workerError{verdict: core.NotRun, reason: core.ReasonUpstream})
+		case broken:
+			done(nil, &workerError{verdict: core.MayHaveRun, reason: core.ReasonUpstream})
+		default:
+			if r, ok := body.(wire.WorkerRefusal); ok {
+				done(nil, &workerError{verdict: core.NotRun, reason: r.Reason, highest: r.HighestEpoch})
+				return
+			}
+			done(body, nil)
+		}
+	})
+}
+
+// workerError is a request to a worker that did not succeed.
+type workerError struct {
+	verdict core.Verdict
+	reason  core.Reason
+	highest core.Epoch
+}
+
+func (c *Cluster) syncWorker(h *host, f core.SyncWorker) {
+	c.counts.Syncs++
+	req := wire.SyncRequest{
+		Epoch: f.Epoch, Owner: h.id, Since: f.Since,
+		LeaseMS: f.Lease.Milliseconds(), WaitMS: f.Wait.Milliseconds(),
+	}
+	c.askWorker(h, f.Worker, f.Wait, func(id worker.RequestID) worker.EventBody {
+		return worker.SyncAsked{Request: id, Sync: req}
+	}, func(body any, e *workerError) {
+		if e != nil {
+			h.post(core.WorkerFailed{
+				Worker: f.Worker, Epoch: f.Epoch, HighestEpoch: e.highest,
+				Refusal: core.Refusal{Reason: e.reason, Verdict: e.verdict, Message: fmt.Sprint(e.reason)},
+			})
+			return
+		}
+		resp := body.(wire.SyncResponse)
+		h.post(wire.Synced(f.Worker, f.Epoch, &resp))
+	})
+}
+
+func (c *Cluster) startTask(h *host, f core.StartTask) {
+	c.counts.StartsSent++
+	req := wire.StartRequest{
+		TaskRef: wire.TaskRef(f.Task), Epoch: f.Epoch, Team: f.Team, Kind: f.Kind,
+		Request: wire.FromResources(f.Request), LeaseMS: f.Lease.Milliseconds(),
+		LatestStartUnixMS: wire.UnixMS(f.LatestStart), Checkpoint: f.Checkpoint,
+	}
+	program := c.program(f.Task.Job)
+	c.askWorker(h, f.Worker, 0, func(id worker.RequestID) worker.EventBody {
+		return worker.StartAsked{Request: id, Start: req, Program: program}
+	}, func(_ any, e *workerError) {
+		a := core.StartAnswered{Worker: f.Worker, Epoch: f.Epoch, Task: f.Task, Verdict: core.Ran, Answered: true}
+		if e != nil {
+			a.Verdict, a.Reason, a.HighestEpoch = e.verdict, e.reason, e.highest
+			a.Answered = e.reason != core.ReasonUpstream
+		}
+		h.post(a)
+	})
+}
+
+func (c *Cluster) signalTask(h *host, f core.SignalTask) {
+	c.counts.Signals++
+	req := wire.SignalRequest{TaskRef: wire.TaskRef(f.Task), Epoch: f.Epoch, Signal: f.Signal}
+	c.askWorker(h, f.Worker, 0, func(id worker.RequestID) worker.EventBody {
+		return worker.SignalAsked{Request: id, Signal: req}
+	}, func(_ any, e *workerError) {
+		if e != nil {
+			h.post(core.SignalFailed{
+				Worker: f.Worker, Epoch: f.Epoch, Task: f.Task, Signal: f.Signal, HighestEpoch: e.highest,
+			})
+		}
+	})
+}
+
+// program returns what a job does at a worker.
+func (c *Cluster) program(id core.JobID) worker.Program {
+	if j := c.jobs[id]; j != nil {
+		return j.Program
+	}
+	return worker.Program{RunMS: defaultRunMS}
+}
--- /dev/null
+++ b/virtual/virtual_test.go
@@ -0,0 +1,118 @@
+package virtual
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+// recovery is how long after its deadline a job may stay without an outcome.
+const recovery = 90 * time.Second
+
+// testDocument declares one kind of each sort that recovery treats differently.
+func testDocument(team core.TeamName) core.Document {
+	request := core.Resources{MilliCPU: 2000, MemoryMB: 4000, Slots: 1, Connections: 1}
+	return core.Document{
+		Team: team, Service: "test", Weight: 1,
+		Quota: core.Resources{MilliCPU: 64000, MemoryMB: 256000, Slots: 32, Connections: 256},
+		Kinds: []core.Kind{
+			{Name: "batch", Urgency: core.Normal, Idempotent: true, Request: request,
+				RunTime: 5 * time.Second, Deadline: 3 * time.Minute, MaxAttempts: 5, QueueLimit: 500},
+			{Name: "billed", Urgency: core.Urgent, Request: request,
+				RunTime: 5 * time.Second, Deadline: 3 * time.Minute, MaxAttempts: 5, QueueLimit: 500},
+			{Name: "gang", Urgency: core.Normal, Idempotent: true, Request: request, GangSize: 3,
+				RestartGang: true, RunTime: 5 * time.Second, Deadline: 3 * time.Minute, MaxAttempts: 5, QueueLimit: 500},
+			{Name: "lookup", Urgency: core.Interactive, Request: core.Resources{MilliCPU: 500, MemoryMB: 500, Slots: 1, Connections: 4},
+				RunTime: 50 * time.Millisecond, Deadline: 5 * time.Second, MaxAttempts: 3, QueueLimit: 100},
+			{Name: "preview", Urgency: core.Interactive, Idempotent: true, Request: core.Resources{MilliCPU: 500, MemoryMB: 500, Slots: 1, Connections: 4},
+				RunTime: 50 * time.Millisecond, Deadline: 5 * time.Second, MaxAttempts: 3, QueueLimit: 100},
+		},
+	}
+}
+
+// testCell is a data centre with hosts h1, h2, ... and workers w1, w2, ...
+func testCell(dc, region string, hosts, workers int) Cell {
+	cell := Cell{DataCentre: core.DataCentre(dc), Region: core.Region(region)}
+	for i := range hosts {
+		cell.Hosts = append(cell.Hosts, core.HostID(fmt.Sprintf("%s-h%d", dc, i+1)))
+	}
+	for i := range workers {
+		cell.Workers = append(cell.Workers, core.ListedWorker{
+			ID: core.WorkerID(fmt.Sprintf("%s-w%d", dc, i+1)), Rack: strconv.Itoa(i / 2),
+			Capacity: core.Resources{MilliCPU: 16000, MemoryMB: 64000, Slots: 8, Connections: 64},
+		})
+	}
+	return cell
+}
+
+// testCluster has one data centre with three hosts and four workers.
+func testCluster(seed uint64) *Cluster {
+	return New(Config{
+		Seed: seed, Cells: []Cell{testCell("a", "r", 3, 4)}, Jitter: time.Millisecond,
+		Documents: []core.Document{testDocument("red"), testDocument("blue")},
+	})
+}
+
+// settle waits until a data centre has an owner.
+func settle(t *testing.T, c *Cluster) core.HostID {
+	t.Helper()
+	if !c.RunWhile(time.Minute, func() bool { return c.Owner("a") == "" }) {
+		t.Fatal("no host became the owner within a minute")
+	}
+	c.RunFor(time.Second)
+	return c.Owner("a")
+}
+
+// submit submits n jobs of a kind at a host.
+func submit(c *Cluster, host core.HostID, kind core.KindName, n int, runMS int64) []*Job {
+	var jobs []*Job
+	for range n {
+		jobs = append(jobs, c.Submit(Job{
+			ID: core.JobID(fmt.Sprintf("%s-%d", kind, len(c.ids))), Team: "red", Kind: kind, Host: host,
+			Program: worker.Program{RunMS: runMS}, Deadline: 3 * time.Minute, Patience: 2 * time.Minute,
+		}))
+	}
+	return jobs
+}
+
+// check fails the test if a guarantee was violated.
+func check(t interface {
+	Helper()
+	Errorf(string, ...any)
+}, c *Cluster) {
+	t.Helper()
+	for _, fault := range c.Accounts(recovery).Faults() {
+		t.Errorf("%s", fault)
+	}
+}
+
+// Guards against a cluster that loses work without any fault.
+func TestWorkWithoutFaultsSucceeds(t *testing.T) {
+	c := testCluster(1)
+	owner := settle(t, c)
+	for _, kind := range []core.KindName{"batch", "billed", "gang"} {
+		submit(c, owner, kind, 10, 3000)
+		submit(c, c.anyHost(c.hosts[owner]), kind, 10, 3000)
+	}
+	for i := range 50 {
+		c.After(time.Duration(i)*100*time.Millisecond, func() {
+			c.Call(Call{ID: strconv.Itoa(i), Team: "red", Kind: "lookup", Host: owner, Program: worker.Program{RunMS: 30}})
+		})
+	}
+	c.RunFor(time.Minute)
+	for _, j := range c.Jobs() {
+		if j.State != core.JobSucceeded {
+			t.Errorf("job %s: %v %v", j.ID, j.State, j.Refusal)
+		}
+	}
+	for _, call := range c.Calls() {
+		if call.Refusal != nil || call.Worker == "" {
+			t.Errorf("call %s: %v", call.ID, call.Refusal)
+		}
+	}
+	check(t, c)
+}
