Forward interactive calls in package virtual

Cause: a call is passed on to another data centre while its own has no usable worker; the fake did not know that step. Change: the fake carries out CallForward as package entry does.

--- a/virtual/traffic.go
+++ b/virtual/traffic.go
@@ -56,7 +56,7 @@
 	c.calls = append(c.calls, out)
 	h := c.hosts[out.Host]
 	c.ask(Callers, Party(out.Host), 2*requestWait, func(id uint64) {
-		h.runIn(h.life, func() { h.beginCall(out, id) })
+		h.runIn(h.life, func() { h.beginCall(out, id, false) })
 	}, func(body any, f failure) {
 		out.Ended = c.now
 		switch f {
@@ -71,15 +71,19 @@
 	return out
 }
 
-// beginCall starts the plan of a call.
-func (h *host) beginCall(call *Call, exchange uint64) {
+// beginCall starts the plan of a call. A call that was forwarded stays here.
+func (h *host) beginCall(call *Call, exchange uint64, forwarded bool) {
 	rules, ok := h.traffic.pool.Rules(call.Team, call.Kind)
 	if !ok {
 		h.c.answer(exchange, &core.Refusal{Reason: core.ReasonUnknownKind}, answered, 0)
 		return
 	}
 	run := &callRun{h: h, call: call, exchange: exchange, plan: &core.CallPlan{Rules: rules, Began: h.c.now}}
-	run.next(run.plan.First())
+	elsewhere := h.traffic.pool.Elsewhere()
+	if forwarded {
+		elsewhere = ""
+	}
+	run.next(run.plan.First(elsewhere))
 	h.after(rules.Deadline, func() {
 		if i := slices.Index(h.traffic.waiting, run); i >= 0 {
 			h.traffic.waiting = slices.Delete(h.traffic.waiting, i, i+1)
@@ -95,12 +99,33 @@
 		return
 	}
 	run.step = step
-	if step.Act == core.CallRefuse {
+	switch step.Act {
+	case core.CallRefuse:
 		run.done = true
 		run.h.c.answer(run.exchange, step.Refusal, answered, 0)
-		return
+	case core.CallForward:
+		run.forward(step.Address)
+	default:
+		run.h.after(step.Wait, run.take)
 	}
-	run.h.after(step.Wait, run.take)
+}
+
+// forward passes the call on to a host of another data centre.
+func (run *callRun) forward(address string) {
+	h, target := run.h, run.h.c.hosts[core.HostID(address)]
+	h.c.ask(Party(h.id), Party(address), run.plan.Rules.Deadline, func(id uint64) {
+		target.runIn(target.life, func() { target.beginCall(run.call, id, true) })
+	}, func(body any, f failure) {
+		switch f {
+		case answered:
+			run.done = true
+			h.c.answer(run.exchange, body, answered, 0)
+		case notWritten:
+			run.next(run.plan.ForwardFailed(core.NotRun))
+		default:
+			run.next(run.plan.ForwardFailed(core.MayHaveRun))
+		}
+	})
 }
 
 // take takes a slot or waits for one.
