Measure the slopes of the owner's control state

Cause: docs/CAPACITY.md needs figures per worker, task, job and team. Change: package capacity plays scenarios in virtual time, replays the owner's events into a fresh reducer and fits lines over at least three sizes. Keeping replicas no longer sorts all jobs each second.

--- /dev/null
+++ b/capacity/measure.go
@@ -0,0 +1,113 @@
+package capacity
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// Cost is the processor time of one type of event.
+type Cost struct {
+	Event string
+	Count int
+	Mean  time.Duration
+	P99   time.Duration
+}
+
+// Sample is what one scenario cost.
+type Sample struct {
+	Size  Size
+	Bytes int64
+	Costs []Cost
+	// StoreWrites counts the calls to the store that write.
+	StoreWrites int64
+	Jobs        int
+}
+
+// Measure plays a scenario and replays its events into a fresh reducer.
+func Measure(s Size, seed uint64) (*Sample, error) {
+	r, err := play(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	out := &Sample{Size: s, Jobs: r.jobs}
+	for p, n := range r.counts.Store {
+		if writes[p] {
+			out.StoreWrites += n
+		}
+	}
+	out.Bytes, out.Costs, err = r.replay()
+	return out, err
+}
+
+// writes lists the purposes of store operations that write.
+var writes = map[core.Purpose]bool{
+	core.PurposeLeaseGrant: true, core.PurposeLeaseKey: true, core.PurposeOwnerSwap: true,
+	core.PurposeOwnerUpdate: true, core.PurposeLeaseRenew: true, core.PurposeLeaseRevoke: true,
+	core.PurposeJournalWrite: true, core.PurposeJournalOpen: true, core.PurposeJournalDelete: true,
+	core.PurposeDocumentWrite: true,
+}
+
+// heap returns the bytes in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// replay steps a fresh reducer through the recorded events.
+func (r *run) replay() (int64, []Cost, error) {
+	before := heap()
+	reducer := core.New(r.config)
+	times := map[string][]time.Duration{}
+	for i := range r.steps {
+		e, err := r.steps[i].step.DecodeEvent()
+		if err != nil {
+			return 0, nil, fmt.Errorf("step %d: %w", i, err)
+		}
+		began := time.Now()
+		reducer.Step(e)
+		times[r.steps[i].kind] = append(times[r.steps[i].kind], time.Since(began))
+	}
+	held := heap() - before
+	runtime.KeepAlive(reducer)
+	runtime.KeepAlive(r)
+	for _, t := range times {
+		held -= int64(cap(t)) * 8
+	}
+	return held, costs(times), nil
+}
+
+// costs sums up step times by event.
+func costs(times map[string][]time.Duration) []Cost {
+	var out []Cost
+	for kind, t := range times {
+		sort.Slice(t, func(a, b int) bool { return t[a] < t[b] })
+		sum := time.Duration(0)
+		for _, d := range t {
+			sum += d
+		}
+		out = append(out, Cost{
+			Event: kind, Count: len(t), Mean: sum / time.Duration(len(t)), P99: t[len(t)*99/100],
+		})
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Event < out[b].Event })
+	return out
+}
+
+// Slope fits a line through points by least squares.
+func Slope(x, y []float64) (slope, intercept float64) {
+	n := float64(len(x))
+	var sx, sy, sxx, sxy float64
+	for i := range x {
+		sx, sy = sx+x[i], sy+y[i]
+		sxx, sxy = sxx+x[i]*x[i], sxy+x[i]*y[i]
+	}
+	slope = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return slope, (sy - slope*sx) / n
+}
--- a/core/jobtable.go
+++ b/core/jobtable.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -71,6 +72,18 @@
 	return out
 }
 
+// serviceKeys returns the services that have replicas, in a fixed order.
+func (t *jobTable) serviceKeys() []serviceKey {
+	out := make([]serviceKey, 0, len(t.services))
+	for key := range t.services {
+		out = append(out, key)
+	}
+	slices.SortFunc(out, func(a, b serviceKey) int {
+		return cmp.Or(strings.Compare(string(a.team), string(b.team)), strings.Compare(a.service, b.service))
+	})
+	return out
+}
+
 // abandon forgets an open request.
 func (t *jobTable) abandon(id RequestID) {
 	j := t.byID[t.waiting[id]]
--- a/core/service.go
+++ b/core/service.go
@@ -39,8 +39,11 @@
 			}
 		}
 	}
-	for _, j := range r.jobs.ordered() {
-		if j.service != "" && !declared[serviceKey{j.spec.Team, j.service}] {
+	for _, key := range r.jobs.serviceKeys() {
+		if declared[key] {
+			continue
+		}
+		for _, j := range r.jobs.services[key] {
 			r.retireReplica(j)
 		}
 	}
