Read the platform's host list only when it has changed

Cause: each owner reads the list every second so that leaving workers get no new work; at 3,800 workers the whole list is about 1 MB a read (calculated). Change: the read carries the version that was read last, and an unchanged list is answered without content.

--- a/entry/execute.go
+++ b/entry/execute.go
@@ -130,7 +130,7 @@
 // follows soon.
 func (d *Daemon) listHosts(ctx context.Context) {
 	res := d.hosts.Hosts(ctx)
-	if res.Outcome == core.StoreOK {
+	if res.Outcome == core.StoreOK && !res.Unchanged {
 		d.post(ctx, core.HostsListed{Workers: res.Workers, Hosts: res.Hosts})
 	}
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -111,8 +111,13 @@
 		return store.Revoke{Lease: ps.ByName("id")}, nil
 	})
 	handle(http.MethodGet, wire.PathWatch, decodeWatch)
-	handle(http.MethodGet, wire.PathHosts, func(*http.Request, httprouter.Params) (store.Call, error) {
-		return store.Hosts{}, nil
+	handle(http.MethodGet, wire.PathHosts, func(r *http.Request, _ httprouter.Params) (store.Call, error) {
+		raw := r.URL.Query().Get("since")
+		if raw == "" {
+			return store.Hosts{}, nil
+		}
+		since, err := strconv.ParseInt(raw, 10, 64)
+		return store.Hosts{Since: since}, err
 	})
 }
 
--- a/standin/store/hosts.go
+++ b/standin/store/hosts.go
@@ -15,6 +15,20 @@
 	pending   []change
 }
 
+// newHostList publishes a list as its first version.
+func newHostList(list wire.HostList) hostList {
+	list.Version = 1
+	return hostList{published: list}
+}
+
+// since returns the list, without its content if version is the current one.
+func (h *hostList) since(version int64) wire.HostList {
+	if version == h.published.Version {
+		return wire.HostList{Version: version, Unchanged: true}
+	}
+	return h.published
+}
+
 // change is one change of the list.
 type change struct {
 	at   core.Time
@@ -26,6 +40,7 @@
 func (h *hostList) publish(now core.Time, lag time.Duration) (shown []WorkerShown) {
 	for len(h.pending) > 0 && h.pending[0].at.Add(lag) <= now {
 		body := h.pending[0].body
+		h.published.Version++
 		h.pending = h.pending[1:]
 		switch b := body.(type) {
 		case WorkerListed:
--- a/standin/store/reducer.go
+++ b/standin/store/reducer.go
@@ -59,7 +59,7 @@
 	return &Reducer{
 		keys: newKeys(), leases: map[string]*lease{}, calls: map[Kind]int64{},
 		reads: bucket{rate: limits.Reads}, writing: bucket{rate: limits.Writes},
-		faults: faults, hosts: hostList{published: list},
+		faults: faults, hosts: newHostList(list),
 	}
 }
 
@@ -92,7 +92,7 @@
 	kind := call.kind()
 	r.calls[kind]++
 	if kind == KindHosts {
-		r.answer(request, OK, r.hosts.published)
+		r.answer(request, OK, r.hosts.since(call.(Hosts).Since))
 		return
 	}
 	switch r.faults.Outage {
--- a/standin/store/types.go
+++ b/standin/store/types.go
@@ -85,8 +85,8 @@
 		Since  int64
 		Wait   time.Duration
 	}
-	// Hosts reads the host list.
-	Hosts struct{}
+	// Hosts reads the host list if it has changed since a version.
+	Hosts struct{ Since int64 }
 )
 
 // Kind is a kind of call; calls are counted by it.
--- a/wire/store.go
+++ b/wire/store.go
@@ -13,7 +13,7 @@
 //	GET    /v1/watch?prefix=P&since=N&wait_ms=M
 //	                                 ItemList of keys changed after N, at once or when one changes;
 //	                                 an empty list after wait_ms
-//	GET    /v1/hosts                 HostList; lags
+//	GET    /v1/hosts?since=V         HostList; lags; without content if its version is V
 //
 // 429 means that the rate limit was hit and the call took no effect; 503 means
 // that the store is down and the call took no effect. Any other failure of a
@@ -73,10 +73,14 @@
 	TimeToLiveMS int64  `json:"time_to_live_ms"`
 }
 
-// HostList is the platform's list of workers and entry hosts.
+// HostList is the platform's list of workers and entry hosts. Version changes
+// with the list. An answer with Unchanged set leaves the list out: at 3,800
+// workers the whole list has about 1 MB, which is too much to read each second.
 type HostList struct {
-	Workers []ListedWorker `json:"workers"`
-	Hosts   []ListedHost   `json:"hosts"`
+	Version   int64          `json:"version"`
+	Unchanged bool           `json:"unchanged,omitempty"`
+	Workers   []ListedWorker `json:"workers,omitempty"`
+	Hosts     []ListedHost   `json:"hosts,omitempty"`
 }
 
 // ListedWorker is one worker of the platform's list.
