--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -20,10 +20,11 @@
 // workersOf is the number of workers of each size, two racks of eight.
 const workersOf = 8
 
-// Start starts a platform with one data centre that has workers of the sizes of
-// both deployments, and points the settings at it. Without keys, the daemon is
-// insecure if only this machine can reach it.
-func Start(set *entry.Settings) (*standin.Server, error) {
+// Start starts a platform that listens on address, with one data centre that has
+// workers of the sizes of both deployments, and points the settings at it. The
+// stand-in's administration, which shows the workers' ledger, has the same
+// address. Without keys, the daemon is insecure if only this machine can reach it.
+func Start(set *entry.Settings, address string) (*standin.Server, error) {
 	if set.Host == "" {
 		set.Host = defaultHost
 	}
@@ -34,7 +35,7 @@
 		set.Insecure = true
 	}
 	server, err := standin.Start(standin.Config{
-		Topology: topology(set.DataCentre),
+		Topology: topology(set.DataCentre), StoreAddress: address,
 		Hosts: []wire.ListedHost{{
 			ID: set.Host, Address: set.Listen, DataCentre: set.DataCentre, Region: set.DataCentre,
 		}},
