Test the clients against the stand-in and broken servers

Cause: a wrong verdict or store outcome runs billed work twice or loses it. Change: tests of lost answers, truncated and misdirected answers, silent and refused connections, sealed connections, worker restarts and the administration.

--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,117 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against a request that is reported as not written and is written after
+// the report: the transport may still hold it when the exchange has failed.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	client, server := net.Pipe()
+	defer server.Close()
+	a := &attempt{}
+	conn := &trackedConn{Conn: client}
+	a.gotConn(conn, func() {})
+	if f := a.fail(context.Canceled); f.Written {
+		t.Error("an exchange without a write counts as written")
+	}
+	if _, err := conn.Write([]byte("late")); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("write after the failure: %v", err)
+	}
+	if got, _ := io.ReadAll(server); len(got) != 0 {
+		t.Errorf("the server read %q", got)
+	}
+}
+
+// Guards against a written request that counts as not written because its
+// connection served an earlier exchange.
+func TestWriteIsKnownPerExchange(t *testing.T) {
+	client, server := net.Pipe()
+	defer server.Close()
+	go func() { _, _ = io.Copy(io.Discard, server) }() // ends with the connection
+	conn := &trackedConn{Conn: client}
+	first := &attempt{}
+	first.gotConn(conn, func() {})
+	if _, err := conn.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	second := &attempt{}
+	second.gotConn(conn, func() {})
+	if _, err := conn.Write([]byte("y")); err != nil {
+		t.Fatal(err)
+	}
+	if f := second.fail(io.EOF); !f.Written {
+		t.Error("an exchange with a write counts as not written")
+	}
+}
+
+// Guards against an exchange that waits for good on a connection that has gone
+// silent, and against such a connection being used again.
+func TestSilentConnectionIsNotReused(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[string]int{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		seen[r.RemoteAddr]++
+		mu.Unlock()
+		// The server notices the end of the connection after the body only.
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.URL.Path == "/silent" {
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	c := NewClient(time.Second, 4)
+	defer c.Close()
+	for _, path := range []string{"/answers", "/silent", "/answers"} {
+		_, f := c.Do(t.Context(), Request{Method: http.MethodPost, URL: server.URL + path, Body: []byte("x"), Progress: 200 * time.Millisecond})
+		if silent := path == "/silent"; silent != (f != nil) {
+			t.Fatalf("%s: failure %v", path, f)
+		} else if silent && (!f.Written || !errors.Is(f, ErrNoProgress)) {
+			t.Errorf("failure %v (written %v), want %v", f, f.Written, ErrNoProgress)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(seen) != 2 {
+		t.Errorf("requests by connection: %v, want two connections", seen)
+	}
+}
+
+// Guards against an answer that is taken for whole without proof.
+func TestAnswerMustBeWhole(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    error
+	}{
+		{"a body without a length", func(w http.ResponseWriter, _ *http.Request) {
+			w.(http.Flusher).Flush()
+			_, _ = w.Write([]byte("0123"))
+		}, ErrNoLength},
+		{"a body over the limit", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("01234")) }, ErrTooLarge},
+		{"a body that ends early", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "4")
+			_, _ = w.Write([]byte("01"))
+		}, io.ErrUnexpectedEOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			client := NewClient(time.Second, 1)
+			defer client.Close()
+			_, f := client.Do(t.Context(), Request{Method: http.MethodGet, URL: server.URL, MaxBody: 4})
+			if f == nil || !f.Written || !errors.Is(f, c.want) {
+				t.Errorf("failure %v, want a written one with %v", f, c.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,115 @@
+package standin_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/platform"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/upstream"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Guards against a restart that forgets the account, keeps the ledger, or leaves
+// the port closed.
+func TestRestartKeepsTheAccountOnly(t *testing.T) {
+	s, err := standin.Start(standin.Config{Topology: standin.DefaultTopology()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	w := s.Workers()[0]
+	c := upstream.New(upstream.Config{DialTimeout: time.Second, CallTimeout: time.Second})
+	defer c.Close()
+	start := wire.StartRequest{
+		TaskRef: wire.TaskRef{Job: "j", Attempt: 1}, Epoch: 1, LeaseMS: 60_000,
+		LatestStartUnixMS: time.Now().Add(time.Minute).UnixMilli(), Payload: []byte(`{"run_ms":60000}`),
+	}
+	if _, err := c.Start(t.Context(), w.Address, start); err != nil {
+		t.Fatal(err)
+	}
+	before, syncError := c.Sync(t.Context(), w.Address, wire.SyncRequest{Epoch: 1, LeaseMS: 60_000})
+	if syncError != nil {
+		t.Fatal(syncError)
+	}
+	for _, a := range []standin.Action{standin.ActionKill, standin.ActionRestart} {
+		if err := s.ActOnWorker(t.Context(), w.ID, standin.WorkerAction{Action: a}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fresh := upstream.New(upstream.Config{DialTimeout: time.Second, CallTimeout: time.Second})
+	defer fresh.Close()
+	after, syncError := fresh.Sync(t.Context(), w.Address, wire.SyncRequest{Epoch: 1, Since: before.Sequence})
+	if syncError != nil || !after.Full || len(after.Tasks) != 0 || after.Incarnation <= before.Incarnation {
+		t.Errorf("sync after the restart: %+v, %v", after, syncError)
+	}
+	ledger, err := s.Ledger(t.Context())
+	if err != nil || ledger.Summary.Starts != 1 || ledger.Summary.Ends[worker.OutcomeLost] != 1 {
+		t.Errorf("summary %+v, %v", ledger.Summary, err)
+	}
+}
+
+// Guards against administration over HTTP that accepts a misspelt switch or does
+// not reach the list.
+func TestAdministrationOverHTTP(t *testing.T) {
+	s, err := standin.Start(standin.Config{Topology: standin.DefaultTopology()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	id := s.Workers()[0].ID
+	for _, c := range []struct {
+		path, body string
+		status     int
+	}{
+		{standin.PathAdminStore, `{"stale_ms":5}`, 200},
+		{standin.PathAdminStore, `{"stale":5}`, 400},
+		{standin.PathAdminStore, `{"outage":"total"}`, 400},
+		{standin.PathAdminHosts, `{"id":"h1","address":"127.0.0.1:1","data_centre":"dc-a"}`, 200},
+		{standin.PathAdminHosts, `{"id":"h2"}`, 400},
+		{standin.PathAdminHosts + "/h1", `{"action":"leave"}`, 200},
+		{standin.PathAdminWorkers + "/" + id, `{"action":"leave"}`, 200},
+		{standin.PathAdminWorkers + "/" + id, `{"action":"explode"}`, 400},
+		{standin.PathAdminWorkers + "/none", `{"action":"kill"}`, 400},
+	} {
+		answer, err := http.Post("http://"+s.StoreAddress()+c.path, "application/json", strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		answer.Body.Close()
+		if answer.StatusCode != c.status {
+			t.Errorf("%s %s: status %d, want %d", c.path, c.body, answer.StatusCode, c.status)
+		}
+	}
+	client := platform.New(platform.Config{Address: s.StoreAddress(), CallTimeout: time.Second})
+	defer client.Close()
+	list := client.Hosts(t.Context())
+	if len(list.Hosts) != 1 || !list.Hosts[0].Leaving || !list.Workers[0].Leaving || list.Workers[1].Leaving {
+		t.Errorf("host list %+v", list)
+	}
+}
+
+// Guards against a topology file whose mistake shows only when a worker is missed.
+func TestTopologyIsChecked(t *testing.T) {
+	const valid = `{"data_centres":[{"name":"d","region":"r","racks":[{"name":"k","workers":[{"id":"w","count":2,"capacity":{"slots":1}}]}]}]}`
+	for _, c := range []struct {
+		name, file string
+		ok         bool
+	}{
+		{"a valid file", valid, true},
+		{"an unknown field", strings.Replace(valid, "count", "number", 1), false},
+		{"a worker without capacity", strings.Replace(valid, `"slots":1`, "", 1), false},
+		{"a negative capacity", strings.Replace(valid, `"slots":1`, `"slots":-1`, 1), false},
+		{"a worker without id", strings.Replace(valid, `"id":"w","count":2`, `"id":""`, 1), false},
+		{"no workers", `{}`, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := standin.ParseTopology([]byte(c.file)); (err == nil) != c.ok {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,191 @@
+package upstream_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/upstream"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// start runs a stand-in and returns a client and its first worker.
+func start(t *testing.T) (*standin.Server, *upstream.Client, wire.ListedWorker) {
+	t.Helper()
+	s, err := standin.Start(standin.Config{Topology: standin.DefaultTopology()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, newClient(t), s.Workers()[0]
+}
+
+func newClient(t *testing.T) *upstream.Client {
+	c := upstream.New(upstream.Config{DialTimeout: 2 * time.Second, CallTimeout: 2 * time.Second})
+	t.Cleanup(c.Close)
+	return c
+}
+
+func act(t *testing.T, s *standin.Server, id string, a standin.WorkerAction) {
+	t.Helper()
+	if err := s.ActOnWorker(t.Context(), id, a); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func faults(f worker.Faults) standin.WorkerAction {
+	return standin.WorkerAction{Action: standin.ActionFaults, Faults: f}
+}
+
+func entries(t *testing.T, s *standin.Server) []worker.Entry {
+	t.Helper()
+	ledger, err := s.Ledger(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ledger.Workers[0].Entries
+}
+
+func call(epoch core.Epoch, id string) upstream.Call {
+	return upstream.Call{Epoch: epoch, RequestID: id, Attempt: 1, Team: "t", Kind: "k", Body: []byte(`{"run_ms":1,"result":"r"}`)}
+}
+
+func wantVerdict(t *testing.T, err *upstream.Error, want core.Verdict) {
+	t.Helper()
+	if err == nil || err.Verdict != want {
+		t.Fatalf("error %v, want verdict %v", err, want)
+	}
+}
+
+// Guards against a message that client and worker read differently.
+func TestMessagesReachTheWorker(t *testing.T) {
+	s, c, w := start(t)
+	ctx := t.Context()
+	request := wire.StartRequest{
+		TaskRef: wire.TaskRef{Job: "j", Task: 2, Attempt: 3}, Epoch: 4, Team: "t", Kind: "k",
+		Request: wire.Resources{MilliCPU: 5, Slots: 1}, LeaseMS: 60_000,
+		LatestStartUnixMS: time.Now().Add(time.Minute).UnixMilli(), Payload: []byte(`{"run_ms":60000}`),
+	}
+	report, err := c.Start(ctx, w.Address, request)
+	if err != nil || report.State != core.ReportedRunning {
+		t.Fatalf("start: %+v, %v", report, err)
+	}
+	synced, err := c.Sync(ctx, w.Address, wire.SyncRequest{Epoch: 4, LeaseMS: 60_000})
+	if err != nil || !synced.Full || len(synced.Tasks) != 1 || synced.Tasks[0].TaskRef != request.TaskRef {
+		t.Fatalf("sync: %+v, %v", synced, err)
+	}
+	report, err = c.Signal(ctx, w.Address, wire.SignalRequest{TaskRef: request.TaskRef, Epoch: 4, Signal: core.SignalStop})
+	if err != nil || report.State != core.ReportedStopped {
+		t.Fatalf("signal: %+v, %v", report, err)
+	}
+	answer, err := c.Call(ctx, w.Address, call(4, "id"))
+	if err != nil || answer.Status != http.StatusOK || !strings.Contains(string(answer.Body), `"request_id":"id"`) {
+		t.Fatalf("call: %+v, %v", answer, err)
+	}
+	if e := entries(t, s); len(e) != 2 || e[0].Kind != "k" || e[0].Requested != request.Request || e[1].Job != "id" || e[1].Team != "t" {
+		t.Errorf("ledger: %+v", e)
+	}
+	_, err = c.Start(ctx, w.Address, wire.StartRequest{Epoch: 3})
+	wantVerdict(t, err, core.NotRun)
+	if err.Reason != core.ReasonStaleEpoch || err.HighestEpoch != 4 {
+		t.Errorf("refusal: %+v", err)
+	}
+	_, err = c.Call(ctx, w.Address, call(3, "stale"))
+	wantVerdict(t, err, core.NotRun)
+}
+
+// Guards against a billed call that is sent again because a broken answer counted
+// as "not run".
+func TestBrokenAnswerMayHaveRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults worker.Faults
+	}{
+		{"the answer is cut in the middle", worker.Faults{TruncateNext: 1}},
+		{"the answer is for another request", worker.Faults{MisdirectNext: 1}},
+		{"the call runs and is never answered", worker.Faults{Mute: true}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, client, w := start(t)
+			act(t, s, w.ID, faults(c.faults))
+			request := call(1, "id")
+			request.Progress = time.Second
+			answer, err := client.Call(t.Context(), w.Address, request)
+			wantVerdict(t, err, core.MayHaveRun)
+			if answer != nil {
+				t.Errorf("answer %+v was delivered", answer)
+			}
+			if e := entries(t, s); len(e) != 1 {
+				t.Errorf("ledger %+v, want one start", e)
+			}
+		})
+	}
+}
+
+// Guards against a dead worker whose requests are never tried elsewhere.
+func TestRefusedConnectionHasNotRun(t *testing.T) {
+	s, c, w := start(t)
+	if _, err := c.Call(t.Context(), w.Address, call(1, "warm")); err != nil {
+		t.Fatal(err)
+	}
+	act(t, s, w.ID, standin.WorkerAction{Action: standin.ActionKill})
+	fresh := newClient(t)
+	_, err := fresh.Call(t.Context(), w.Address, call(1, "id"))
+	wantVerdict(t, err, core.NotRun)
+	_, err = fresh.Start(t.Context(), w.Address, wire.StartRequest{Epoch: 1})
+	wantVerdict(t, err, core.NotRun)
+	if e := entries(t, s); len(e) != 1 {
+		t.Errorf("ledger %+v, want the first call only", e)
+	}
+}
+
+// Guards against an answer that passes as one although a header is missing or
+// wrong, and against a refusal without proof.
+func TestAnswerMustProveItself(t *testing.T) {
+	const body = `{"message":"no reason"}`
+	for _, c := range []struct {
+		name    string
+		status  int
+		body    string
+		headers map[string]string
+		ok      bool
+	}{
+		{"complete", 200, body, nil, true},
+		{"complete with a failure of the call", 500, body, nil, true},
+		{"other attempt", 200, body, map[string]string{wire.HeaderAttempt: "2"}, false},
+		{"no request id", 200, body, map[string]string{wire.HeaderRequestID: ""}, false},
+		{"wrong digest", 200, body, map[string]string{wire.HeaderDigest: "1"}, false},
+		{"no digest", 200, body, map[string]string{wire.HeaderDigest: ""}, false},
+		{"a conflict without a reason", 409, body, nil, false},
+		{"a refusal of another request", 409, `{"reason":"stale_epoch"}`, map[string]string{wire.HeaderRequestID: "x"}, false},
+		{"over 4 MB", 200, strings.Repeat("x", upstream.MaxAnswerBytes+1), nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				h := w.Header()
+				h.Set(wire.HeaderRequestID, "id")
+				h.Set(wire.HeaderAttempt, "1")
+				h.Set(wire.HeaderDigest, upstream.Digest([]byte(c.body)))
+				for name, value := range c.headers {
+					h.Set(name, value)
+				}
+				h.Set("Content-Length", strconv.Itoa(len(c.body)))
+				w.WriteHeader(c.status)
+				_, _ = w.Write([]byte(c.body))
+			}))
+			defer server.Close()
+			answer, err := newClient(t).Call(t.Context(), server.Listener.Addr().String(), call(1, "id"))
+			if !c.ok {
+				wantVerdict(t, err, core.MayHaveRun)
+			} else if err != nil || answer.Status != c.status || string(answer.Body) != c.body {
+				t.Errorf("answer %+v, error %v", answer, err)
+			}
+		})
+	}
+}
