--- a/cmd/banyanrun-entry/main.go
+++ b/cmd/banyanrun-entry/main.go
@@ -23,7 +23,7 @@
 // settings are the command's flags.
 type settings struct {
 	entry.Settings
-	Embedded bool `long:"embedded" env:"BANYANRUN_EMBEDDED" description:"run the platform and workers in this process, for a first try on one machine"`
+	Embedded bool `long:"embedded" env:"BANYANRUN_EMBEDDED" description:"run the platform and workers in this process, for a first try on one machine; without keys it implies --insecure on a loopback address"`
 	// The address is fixed by default, so that the workers' ledger can be read.
 	EmbeddedPlatform string `long:"embedded-platform" env:"BANYANRUN_EMBEDDED_PLATFORM" default:"127.0.0.1:7400" description:"ip:port of the embedded platform and of its administration"`
 }
--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"banyanrun.example/banyanrun/entry"
 	"banyanrun.example/banyanrun/standin"
@@ -22,7 +23,7 @@
 // Start starts a platform that listens on address, with one data centre that has
 // workers of the sizes of both deployments, and points the settings at it. The
 // stand-in's administration, which shows the workers' ledger, has the same
-// address.
+// address. Without keys, the daemon is insecure if only this machine can reach it.
 func Start(set *entry.Settings, address string) (*standin.Server, error) {
 	if set.Host == "" {
 		set.Host = defaultHost
@@ -30,6 +31,9 @@
 	if set.DataCentre == "" {
 		set.DataCentre = defaultDataCentre
 	}
+	if !set.Files().Given() && isLoopback(set.Listen) {
+		set.Insecure = true
+	}
 	server, err := standin.Start(standin.Config{
 		Topology: topology(set.DataCentre), StoreAddress: address,
 		Hosts: []wire.ListedHost{{
@@ -43,6 +47,12 @@
 	return server, nil
 }
 
+// isLoopback reports whether an ip:port is reached from this machine only.
+func isLoopback(address string) bool {
+	at, err := netip.ParseAddrPort(address)
+	return err == nil && at.Addr().IsLoopback()
+}
+
 // topology has two racks: workers of 32 cores and 128 GB, and of 16 cores and 32
 // GB.
 func topology(dc string) standin.Topology {
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -46,7 +46,7 @@
 	w.Header().Set(wire.HeaderRequestID, id)
 	step := plan.First(d.elsewhere(r))
 	if step.Act == core.CallForward {
-		o := &original{method: r.Method, path: r.URL.RequestURI(), body: body, requestID: id}
+		o := &original{method: r.Method, path: r.URL.RequestURI(), body: body, requestID: id, identity: d.encodeIdentity(r)}
 		done, verdict := d.forward(ctx, w, o, core.Forward{Address: step.Address})
 		if done {
 			return
--- a/entry/request.go
+++ b/entry/request.go
@@ -28,6 +28,8 @@
 	body   []byte
 	// requestID is set for interactive requests.
 	requestID string
+	// identity is the caller's, for the header HeaderForwardedFor.
+	identity string
 }
 
 // isForwarded reports whether another entry host passed the request on.
@@ -58,7 +60,7 @@
 		writeRefusal(w, &core.Refusal{Reason: core.ReasonDraining, Message: "host is stopping"})
 		return
 	}
-	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body}
+	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body, identity: d.encodeIdentity(r)}
 	for {
 		select {
 		case f := <-replies:
