--- a/entry/execute.go
+++ b/entry/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"banyanrun.example/banyanrun/core"
@@ -110,6 +111,7 @@
 		value, err := wire.DecodeValue(item.Value)
 		if err != nil {
 			d.log.Error().Err(err).Str("key", item.Key).Msg("value left untouched")
+			d.metrics.GetOrCreateCounter(fmt.Sprintf("banyanrun_store_unreadable_total{purpose=%q}", op.Purpose.String())).Inc()
 			if op.Purpose != core.PurposeDocumentList && op.Purpose != core.PurposeDocumentWatch {
 				a.Outcome = core.StoreUnreadable
 			}
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -156,6 +156,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	d.log.Error().Interface("cause", cause).Str("path", r.URL.Path).Msg("handler failed")
+	d.count(core.Count{Metric: core.MetricRefusals, Reason: core.ReasonInternal, Add: 1})
 	writeRefusal(w, &core.Refusal{
 		Reason: core.ReasonInternal, Verdict: core.MayHaveRun, Message: "internal error",
 	})
