Check reducers of the stand-in for purity, and fit its topology test

Cause: only package core was checked for I/O, clocks and goroutines. The test of the former topology form failed after the file form had changed to that of the examples. Change: the check moved to internal/purity and covers the stand-in's reducers. The test of the Go type keeps its cases; those of the file form are in topologyfile_test.go, with the negative capacity added.

--- a/core/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -1,4 +1,5 @@
-package core
+// Package purity checks that the packages which hold reducers stay pure.
+package purity
 
 import (
 	"go/ast"
@@ -30,25 +31,42 @@
 	"rand": {"Int", "IntN", "Int64", "Int64N", "Uint64", "Uint64N", "Float64", "Perm", "Shuffle", "N", "ExpFloat64", "NormFloat64", "Uint32", "Int32", "Int32N", "Uint32N", "UintN"},
 }
 
-// TestCoreIsPure guards against a decision that depends on anything but the
+// purePackages are the packages that hold reducers, by their folder.
+var purePackages = []string{"core", "standin/store", "standin/worker"}
+
+// ownPackages of this module may be used by reducers: they hold types alone.
+const module = "banyanrun.example/banyanrun/"
+
+var ownPackages = map[string]bool{"core": true, "wire": true}
+
+// TestReducersArePure guards against a decision that depends on anything but the
 // events: replay and the separation of control state would break without notice.
-func TestCoreIsPure(t *testing.T) {
-	files, err := filepath.Glob("*.go")
-	if err != nil || len(files) < 5 {
-		t.Fatalf("found %d files: %v", len(files), err)
+func TestReducersArePure(t *testing.T) {
+	for _, dir := range purePackages {
+		t.Run(dir, func(t *testing.T) {
+			files, err := filepath.Glob(filepath.Join("../..", dir, "*.go"))
+			if err != nil || len(files) < 2 {
+				t.Fatalf("found %d files: %v", len(files), err)
+			}
+			for _, name := range files {
+				checkFile(t, name)
+			}
+		})
+	}
+}
+
+// checkFile reports every impurity of one file.
+func checkFile(t *testing.T, name string) {
+	if strings.HasSuffix(name, "_test.go") {
+		return
 	}
 	fset := token.NewFileSet()
-	for _, name := range files {
-		if strings.HasSuffix(name, "_test.go") {
-			continue
-		}
-		file, err := parser.ParseFile(fset, name, nil, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for _, finding := range impurities(fset, file) {
-			t.Error(finding)
-		}
+	file, err := parser.ParseFile(fset, name, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, finding := range impurities(fset, file) {
+		t.Error(finding)
 	}
 }
 
@@ -76,7 +94,9 @@
 		found = append(found, fset.Position(n.Pos()).String()+": "+what)
 	}
 	for _, imp := range file.Imports {
-		if path, _ := strconv.Unquote(imp.Path.Value); !pureImports[path] {
+		path, _ := strconv.Unquote(imp.Path.Value)
+		own, isOwn := strings.CutPrefix(path, module)
+		if !pureImports[path] && !(isOwn && ownPackages[own]) {
 			add(imp, "imports "+path)
 		}
 	}
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -92,22 +92,28 @@
 	}
 }
 
-// Guards against a topology file whose mistake shows only when a worker is missed.
+// Guards against a topology whose mistake shows only when a worker is missed. The
+// form of topology files is tested with ParseTopology.
 func TestTopologyIsChecked(t *testing.T) {
-	const valid = `{"data_centres":[{"name":"d","region":"r","racks":[{"name":"k","workers":[{"id":"w","count":2,"capacity":{"slots":1}}]}]}]}`
+	slots := wire.Resources{Slots: 1}
 	for _, c := range []struct {
-		name, file string
-		ok         bool
+		name  string
+		group standin.WorkerGroup
+		ok    bool
 	}{
-		{"a valid file", valid, true},
-		{"an unknown field", strings.Replace(valid, "count", "number", 1), false},
-		{"a worker without capacity", strings.Replace(valid, `"slots":1`, "", 1), false},
-		{"a negative capacity", strings.Replace(valid, `"slots":1`, `"slots":-1`, 1), false},
-		{"a worker without id", strings.Replace(valid, `"id":"w","count":2`, `"id":""`, 1), false},
-		{"no workers", `{}`, false},
+		{"a valid group", standin.WorkerGroup{ID: "w", Count: 2, Capacity: slots}, true},
+		{"a group without capacity", standin.WorkerGroup{ID: "w"}, false},
+		{"a negative capacity", standin.WorkerGroup{ID: "w", Capacity: wire.Resources{Slots: 1, MemoryMB: -1}}, false},
+		{"a worker without id", standin.WorkerGroup{Capacity: slots}, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if _, err := standin.ParseTopology([]byte(c.file)); (err == nil) != c.ok {
+			s, err := standin.Start(standin.Config{Topology: standin.Topology{DataCentres: []standin.DataCentre{{
+				Name: "d", Region: "r", Racks: []standin.Rack{{Name: "k", Workers: []standin.WorkerGroup{c.group}}},
+			}}}})
+			if err == nil {
+				s.Close()
+			}
+			if (err == nil) != c.ok {
 				t.Errorf("error %v", err)
 			}
 		})
--- a/standin/topologyfile_test.go
+++ b/standin/topologyfile_test.go
@@ -47,6 +47,8 @@
 		{"no region", `{"data_centres": [{"name": "a", "racks": 1, "workers_per_rack": 1, ` + capacity + `}]}`, "region"},
 		{"no racks", `{"data_centres": [{"name": "a", "region": "r", "workers_per_rack": 1, ` + capacity + `}]}`, "racks"},
 		{"no capacity", `{"data_centres": [{"name": "a", "region": "r", "racks": 1, "workers_per_rack": 1}]}`, "capacity"},
+		{"a negative capacity", `{"data_centres": [{"name": "a", "region": "r", "racks": 1, "workers_per_rack": 1, ` +
+			`"capacity": {"memory_mb": -1, "slots": 1}}]}`, "capacity"},
 		{"a product that is too large", `{"data_centres": [{"name": "a", "region": "r", "racks": 200, "workers_per_rack": 200, ` +
 			capacity + `}]}`, "more than"},
 		{"one data centre twice", `{"data_centres": [{"name": "a", "region": "r", "racks": 1, "workers_per_rack": 1, ` + capacity +
