--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -29,8 +29,12 @@
 	reportPeriod = time.Second
 	// reportSpacing bounds the reports while there is much activity.
 	reportSpacing = 50 * time.Millisecond
-	// maxHeaderBytes bounds the headers of a request.
-	maxHeaderBytes = 16 << 10
+	// maxHeaderBytes bounds the request line and headers of a request, and
+	// hardHeaderBytes what the server reads of them before it gives up.
+	maxHeaderBytes  = 16 << 10
+	hardHeaderBytes = 64 << 10
+	// headerOverhead is what separates names, values and lines of headers.
+	headerOverhead = len(": ") + len("\r\n")
 	// readHeaderTimeout bounds the time in which a request's headers arrive.
 	readHeaderTimeout = 10 * time.Second
 	// readTimeout bounds the time in which a whole request arrives.
@@ -104,7 +108,7 @@
 		Period: core.TickPeriod, Mailbox: mailbox, Observe: d.observe,
 	})
 	d.server = &http.Server{
-		Handler: d.closeStale(d.routes()), MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.closeStale(d.routes()), MaxHeaderBytes: hardHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		ConnContext: d.connContext, ErrorLog: d.listenerLog(),
 	}
