--- a/ctl/client.go
+++ b/ctl/client.go
@@ -10,6 +10,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"banyanrun.example/banyanrun/keys"
 )
 
 const (
@@ -29,15 +31,23 @@
 	// Timeout bounds each request, in addition to the wait that a request
 	// asks for.
 	Timeout time.Duration
+	scheme  string
 	http    *http.Client
 }
 
-// NewClient returns a client for the given entry hosts.
-func NewClient(entry []string, timeout time.Duration) *Client {
+// NewClient returns a client for the given entry hosts. It uses mutual TLS
+// unless store is nil.
+func NewClient(entry []string, timeout time.Duration, store *keys.Store) *Client {
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+	scheme := "http://"
+	if store != nil {
+		transport.DialTLSContext = store.Dialer(dialTimeout)
+		scheme = "https://"
+	}
 	return &Client{
-		Entry: entry, Timeout: timeout,
+		Entry: entry, Timeout: timeout, scheme: scheme,
 		http: &http.Client{
-			Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext},
+			Transport: transport,
 			// A redirected POST would turn into a GET.
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -77,9 +87,9 @@
 		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
 	})
 	fail := func(err error) *Response {
-		return &Response{Failure: &Failure{Sent: sent.Load(), Message: fmt.Sprintf("entry host %s: %v", entry, err)}}
+		return &Response{Failure: &Failure{Sent: sent.Load() && !keys.Refused(err), Message: fmt.Sprintf("entry host %s: %v", entry, err)}}
 	}
-	target := "http://" + entry + r.Path
+	target := c.scheme + entry + r.Path
 	if len(r.Query) > 0 {
 		target += "?" + r.Query.Encode()
 	}
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -51,7 +51,7 @@
 		fmt.Fprint(stdout, help)
 		return ExitOK
 	}
-	result := Run(ctx, NewClient(env.Entry, env.Timeout), step)
+	result := perform(ctx, env, step)
 	_, outErr := io.WriteString(stdout, result.Stdout)
 	_, errErr := io.WriteString(stderr, result.Stderr)
 	if err := errors.Join(outErr, errErr); err != nil && result.Exit == ExitOK {
@@ -60,6 +60,19 @@
 	return result.Exit
 }
 
+// perform runs the steps of a command. Only a command that sends a request needs
+// the certificate.
+func perform(ctx context.Context, env *environment, step Step) Result {
+	if step.Send == nil {
+		return step.Result
+	}
+	store, err := env.keys()
+	if err != nil {
+		return usage(err).Result
+	}
+	return Run(ctx, NewClient(env.Entry, env.Timeout, store), step)
+}
+
 // parse reads the command line and returns the command's first step, or the help
 // text that was asked for. With GO_FLAGS_COMPLETION set, go-flags prints
 // completions and exits.
--- a/ctl/plan.go
+++ b/ctl/plan.go
@@ -46,8 +46,11 @@
 }
 
 func (c *applyCommand) plan(env *environment) Step {
-	if err := checkAuthor(c.Author); err != nil {
-		return usage(err)
+	// With a certificate, an author that is not given is its common name.
+	if c.Author != "" || !env.files().Given() {
+		if err := checkAuthor(c.Author); err != nil {
+			return usage(err)
+		}
 	}
 	if c.Base != nil && *c.Base < 0 {
 		return usage(&settingError{"--base (BANYANCTL_BASE)", *c.Base, "a revision, or 0 to create"})
--- a/ctl/settings.go
+++ b/ctl/settings.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/keys"
 )
 
 // Limits of the settings.
@@ -27,6 +28,9 @@
 type Settings struct {
 	Entry   []string      `long:"entry" env:"BANYANCTL_ENTRY" env-delim:"," default:"127.0.0.1:7600" value-name:"IP:PORT" description:"entry host; may be repeated, the next one is tried if one cannot be reached"`
 	Timeout time.Duration `long:"timeout" env:"BANYANCTL_TIMEOUT" default:"10s" value-name:"DURATION" description:"bound for each request"`
+	Cert    string        `long:"cert" env:"BANYANCTL_CERT" value-name:"FILE" description:"certificate to present, in PEM form; without it requests are sent without TLS"`
+	Key     string        `long:"key" env:"BANYANCTL_KEY" value-name:"FILE" description:"private key of the certificate, in PEM form"`
+	CA      string        `long:"ca" env:"BANYANCTL_CA" value-name:"FILE" description:"authorities that entry hosts are verified against, in PEM form"`
 	JSON    bool          `long:"json" env:"BANYANCTL_JSON" description:"print JSON instead of tables"`
 }
 
@@ -49,9 +53,30 @@
 			return &settingError{"--entry (BANYANCTL_ENTRY)", entry, "an IP address and a port, such as 127.0.0.1:7600"}
 		}
 	}
+	if files := s.files(); files.Given() && !files.Complete() {
+		return &settingError{
+			"--cert, --key, --ca (BANYANCTL_CERT, BANYANCTL_KEY, BANYANCTL_CA)",
+			strings.Join([]string{s.Cert, s.Key, s.CA}, ","), "a file for each, or none",
+		}
+	}
 	return checkDuration("--timeout (BANYANCTL_TIMEOUT)", s.Timeout, minTimeout, maxTimeout)
 }
 
+// files returns the names of the certificate's files.
+func (s *Settings) files() keys.Files { return keys.Files{Cert: s.Cert, Key: s.Key, CA: s.CA} }
+
+// keys loads the certificate, or nothing if none is given.
+func (s *Settings) keys() (*keys.Store, error) {
+	if !s.files().Given() {
+		return nil, nil
+	}
+	store, err := keys.Load(s.files(), "")
+	if err != nil {
+		return nil, fmt.Errorf("settings --cert, --key and --ca: %w", err)
+	}
+	return store, nil
+}
+
 func checkDuration(setting string, d, low, high time.Duration) error {
 	if d < low || d > high {
 		return &settingError{setting, d, fmt.Sprintf("%v to %v", low, high)}
@@ -101,7 +126,7 @@
 
 type applyCommand struct {
 	Topology flags.Filename `long:"topology" env:"BANYANCTL_TOPOLOGY" description:"check against the workers of this topology file"`
-	Author   string         `long:"author" env:"BANYANCTL_AUTHOR" description:"who makes the edit"`
+	Author   string         `long:"author" env:"BANYANCTL_AUTHOR" description:"who makes the edit; with a certificate, its common name by default"`
 	Base     *core.Revision `long:"base" env:"BANYANCTL_BASE" description:"revision that was edited; 0 creates; without it, the one in force is replaced"`
 	Args     struct {
 		File flags.Filename `positional-arg-name:"FILE" description:"document, or - for standard input"`
