--- /dev/null
+++ b/entry/access_test.go
@@ -0,0 +1,386 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/embedded"
+	"banyanrun.example/banyanrun/entry"
+	"banyanrun.example/banyanrun/keys"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// patience bounds the wait for a condition that is expected to come true.
+const patience = time.Minute
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	tick := time.NewTicker(5 * time.Millisecond)
+	defer tick.Stop()
+	for !holds() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			t.Fatalf("%s: not seen", what)
+		}
+	}
+}
+
+// settings parses flags, so that defaults apply.
+func settings(t *testing.T, args ...string) entry.Settings {
+	t.Helper()
+	var set entry.Settings
+	if _, err := flags.NewParser(&set, flags.None).ParseArgs(args); err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
+// start runs a daemon with an embedded platform until the test ends.
+func start(t *testing.T, args ...string) string {
+	t.Helper()
+	set := settings(t, append(args, "--listen=127.0.0.1:0", "--keys-check=10ms")...)
+	platform, err := embedded.Start(&set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := entry.New(set, zerolog.Nop())
+	if err != nil {
+		platform.Close()
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		platform.Close()
+	})
+	return d.Address()
+}
+
+// startSecure runs a daemon whose certificate is in dir.
+func startSecure(t *testing.T, dir string) string {
+	t.Helper()
+	name := func(file string) string { return filepath.Join(dir, file) }
+	return start(t, "--cert="+name("cert"), "--key="+name("key"), "--ca="+name("ca"))
+}
+
+// result is what a request gave.
+type result struct {
+	status          int
+	reason, verdict string
+	body            string
+}
+
+// request sends one request.
+func request(t *testing.T, c *http.Client, method, url, body string, header ...string) (result, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return result{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return result{resp.StatusCode, resp.Header.Get(wire.HeaderReason), resp.Header.Get(wire.HeaderVerdict), string(data)}, err
+}
+
+// ready waits until the daemon serves.
+func ready(t *testing.T, c *http.Client, base string) {
+	t.Helper()
+	eventually(t, "readiness", func() bool {
+		r, err := request(t, c, "GET", base+"/readyz", "")
+		return err == nil && r.status == http.StatusOK
+	})
+}
+
+const document = `{"schema": 1, "team": "alpha", "service": "s", "weight": 1,
+"quota": {"cpus": 8, "memory_mb": 4096, "accelerators": 0, "slots": 8, "connections": 8},
+"kinds": [{"name": "index", "urgency": "normal", "idempotent": true,
+"request": {"cpus": 1, "memory_mb": 64, "slots": 1}, "run_time": "1h", "deadline": "4h",
+"max_attempts": 2, "queue_limit": 10}]}`
+
+// TestAccessOverTLS guards against requests that reach the reducer in the wrong
+// role or for the wrong team, on the routes of a real listener.
+func TestAccessOverTLS(t *testing.T) {
+	ca, dir := newAuthority(t), t.TempDir()
+	ca.write(t, dir, ca.issue(t, "entry-1", "host", valid))
+	base := "https://" + startSecure(t, dir)
+	who := map[string]*http.Client{
+		"host":            ca.client(ca.issue(t, "entry-2", "host", valid)),
+		"operator":        ca.client(ca.issue(t, "ada", "operator", valid, "alpha")),
+		"foreignOperator": ca.client(ca.issue(t, "bob", "operator", valid, "beta")),
+		"caller":          ca.client(ca.issue(t, "cal", "caller", valid, "alpha")),
+		"foreignCaller":   ca.client(ca.issue(t, "dan", "caller", valid, "beta")),
+	}
+	ready(t, who["caller"], base)
+	const doc, job, jobs = "/v1/documents/alpha", "/v1/jobs/j1", "/v1/jobs"
+	const one = `{"id": "j1", "team": "alpha", "kind": "index"}`
+	const forOwn, forForeign = `{"name":"cal","role":"caller","teams":["alpha"]}`, `{"name":"dan","role":"caller","teams":["beta"]}`
+	const forHost = `{"name":"entry-3","role":"host"}`
+	forwarded := func(identity string) []string {
+		return []string{wire.HeaderForwarded, "entry-2", wire.HeaderForwardedFor, identity}
+	}
+	edit := []string{wire.HeaderIfMatch, "0"}
+	forbidden := 0
+	for _, c := range []struct {
+		name, who, method, path, body string
+		header                        []string
+		status                        int
+	}{
+		{"a caller edits no document", "caller", "PUT", doc, document, edit, 403},
+		{"an operator of another team edits no document", "foreignOperator", "PUT", doc, document, edit, 403},
+		{"an operator signs with no other name", "operator", "PUT", doc, document, append([]string{wire.HeaderAuthor, "bob"}, edit...), 403},
+		{"an operator edits the document of its team", "operator", "PUT", doc, document, edit, 200},
+		{"a caller of another team reads no document", "foreignCaller", "GET", doc, "", nil, 403},
+		{"a caller of another team reads no history", "foreignCaller", "GET", doc + "/history", "", nil, 403},
+		{"a caller of another team submits nothing", "foreignCaller", "POST", jobs, one, nil, 403},
+		{"an operator submits nothing", "operator", "POST", jobs, one, nil, 403},
+		{"a caller submits for its team", "caller", "POST", jobs, one, nil, 202},
+		{"a caller of another team makes no call", "foreignCaller", "POST", "/v1/call/alpha/index", "", nil, 403},
+		{"a caller of another team reads no status", "foreignCaller", "GET", job, "", nil, 403},
+		{"a caller of another team reads no explanation", "foreignCaller", "GET", job + "/explain", "", nil, 403},
+		{"a caller of another team cancels nothing", "foreignCaller", "DELETE", job, "", nil, 403},
+		{"an operator of another team cancels nothing", "foreignOperator", "DELETE", job, "", nil, 403},
+		{"a caller reads its team's figures", "caller", "GET", "/v1/teams?team=alpha", "", nil, 200},
+		{"a caller reads not all teams", "caller", "GET", "/v1/teams", "", nil, 403},
+		{"a caller reads no other team", "foreignCaller", "GET", "/v1/teams?team=alpha", "", nil, 403},
+		{"a caller reads no workers", "caller", "GET", "/v1/workers", "", nil, 403},
+		{"an operator reads the workers", "operator", "GET", "/v1/workers", "", nil, 200},
+		{"a caller sends no peer message", "caller", "POST", "/peer/v1/documents", "{}", nil, 403},
+		{"an operator sends no summary", "operator", "POST", "/peer/v1/summary", "{}", nil, 403},
+		{"an operator sends no heartbeat", "operator", "POST", "/peer/v1/heartbeat", "{}", nil, 403},
+		{"a caller forwards nothing", "caller", "GET", job, "", forwarded(forOwn), 403},
+		{"a host reads nothing for itself", "host", "GET", job, "", nil, 403},
+		{"a host forwards for the job's team", "host", "GET", job, "", forwarded(forOwn), 200},
+		{"a host forwards for no other team", "host", "GET", job, "", forwarded(forForeign), 403},
+		{"a host forwards for no host", "host", "POST", "/peer/v1/documents", "{}", forwarded(forHost), 403},
+		{"a host forwards for nobody unnamed", "host", "GET", job, "", forwarded(""), 403},
+		{"a caller still finds its job", "caller", "GET", job, "", nil, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, err := request(t, who[c.who], c.method, base+c.path, c.body, c.header...)
+			if err != nil || r.status != c.status {
+				t.Fatalf("got %+v, %v, want status %d", r, err, c.status)
+			}
+			if c.status == 403 {
+				forbidden++
+				if r.reason != "forbidden" || r.verdict != "not_run" {
+					t.Errorf("got %+v, want forbidden and not_run", r)
+				}
+			}
+			if strings.Contains(r.body, `"cancelled"`) {
+				t.Errorf("job was cancelled: %s", r.body)
+			}
+			if c.method == "PUT" && c.status == 200 && !strings.Contains(r.body, `"author":"ada"`) {
+				t.Errorf("author is not the certificate's common name: %s", r.body)
+			}
+		})
+	}
+	metrics, err := request(t, who["caller"], "GET", base+"/metrics", "")
+	if want := `banyanrun_refusals_total{reason="forbidden"} ` + itoa(forbidden) + "\n"; err != nil || !strings.Contains(metrics.body, want) {
+		t.Errorf("metrics lack %q: %v", want, err)
+	}
+	batch, err := request(t, who["foreignCaller"], "POST", base+"/v1/jobs/batch", `{"jobs": [`+one+`]}`)
+	var answer wire.BatchResponse
+	if err == nil {
+		err = json.Unmarshal([]byte(batch.body), &answer)
+	}
+	if err != nil || len(answer.Jobs) != 1 || answer.Jobs[0].Error == nil || answer.Jobs[0].Error.Reason != "forbidden" {
+		t.Errorf("batch gave %+v, %v, want forbidden", batch, err)
+	}
+	cancelled, err := request(t, who["caller"], "DELETE", base+job, "")
+	if err != nil || cancelled.status != 200 || !strings.Contains(cancelled.body, `"cancelled"`) {
+		t.Errorf("cancel by the team gave %+v, %v", cancelled, err)
+	}
+}
+
+// TestHandshakes guards against a listener that serves clients without a valid
+// certificate.
+func TestHandshakes(t *testing.T) {
+	ca, other, dir := newAuthority(t), newAuthority(t), t.TempDir()
+	ca.write(t, dir, ca.issue(t, "entry-1", "host", valid))
+	base := "https://" + startSecure(t, dir)
+	ready(t, ca.client(ca.issue(t, "cal", "caller", valid)), base)
+	foreign := other.issue(t, "cal", "caller", valid)
+	for name, c := range map[string]*http.Client{
+		"no certificate":                     ca.client(nil),
+		"an expired certificate":             ca.client(ca.issue(t, "cal", "caller", expired)),
+		"a certificate of another authority": ca.client(foreign),
+	} {
+		if r, err := request(t, c, "GET", base+"/healthz", ""); err == nil {
+			t.Errorf("%s was served: %+v", name, r)
+		}
+	}
+	unknown, err := request(t, ca.client(ca.issue(t, "x", "admin", valid)), "GET", base+"/healthz", "")
+	if err != nil || unknown.reason != "forbidden" {
+		t.Errorf("unknown role got %+v, %v, want forbidden", unknown, err)
+	}
+	if r, err := request(t, http.DefaultClient, "GET", "http"+strings.TrimPrefix(base, "https")+"/healthz", ""); err == nil && r.status == 200 {
+		t.Errorf("plain HTTP was served: %+v", r)
+	}
+}
+
+// TestReload guards against a daemon that needs a restart for a new certificate
+// or authority, and against one that a broken file takes out of service.
+func TestReload(t *testing.T) {
+	old, dir := newAuthority(t), t.TempDir()
+	first := old.issue(t, "entry-1", "host", valid)
+	old.write(t, dir, first)
+	address := startSecure(t, dir)
+	caller := old.issue(t, "cal", "caller", valid)
+	ready(t, old.client(caller), "https://"+address)
+
+	replace(t, dir, "cert", []byte("not a certificate"))
+	eventually(t, "count of broken files", func() bool {
+		r, err := request(t, old.client(caller), "GET", "https://"+address+"/metrics", "")
+		return err == nil && counter(r.body, `banyanrun_key_reloads_total{result="failed"}`) == 1
+	})
+	if serial, err := old.served(address, caller); err != nil || serial.Cmp(first.leaf.SerialNumber) != 0 {
+		t.Fatalf("with a broken file, certificate %v is served, %v", serial, err)
+	}
+
+	renewed := newAuthority(t)
+	second := renewed.issue(t, "entry-1", "host", valid)
+	renewed.write(t, dir, second)
+	newCaller := renewed.issue(t, "cal", "caller", valid)
+	eventually(t, "new certificate", func() bool {
+		serial, err := renewed.served(address, newCaller)
+		return err == nil && serial.Cmp(second.leaf.SerialNumber) == 0
+	})
+	// The client still trusts the renewed server, but its own certificate is
+	// of the authority that was removed.
+	if r, err := request(t, renewed.client(caller), "GET", "https://"+address+"/healthz", ""); err == nil {
+		t.Errorf("certificate of a removed authority was served: %+v", r)
+	}
+}
+
+// TestBrokenFilesAreKeptOut guards against files that replace a usable pair
+// although they cannot serve, and against the same error at each check.
+func TestBrokenFilesAreKeptOut(t *testing.T) {
+	ca := newAuthority(t)
+	for _, c := range []struct {
+		name string
+		edit func(dir string)
+		err  string
+	}{
+		{"a file that is no certificate", func(dir string) { replace(t, dir, "cert", []byte("x")) }, "PEM"},
+		{"a certificate without its key", func(dir string) {
+			other := t.TempDir()
+			ca.write(t, other, ca.issue(t, "entry-2", "host", valid))
+			data, err := os.ReadFile(filepath.Join(other, "cert"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			replace(t, dir, "cert", data)
+		}, "private key"},
+		{"an expired certificate", func(dir string) { ca.write(t, dir, ca.issue(t, "entry-2", "host", expired)) }, "valid from"},
+		{"a certificate of another role", func(dir string) { ca.write(t, dir, ca.issue(t, "c", "caller", valid)) }, `role "caller"`},
+		{"a bundle without authorities", func(dir string) { replace(t, dir, "ca", nil) }, "authority"},
+		{"a file that is missing", func(dir string) { _ = os.Remove(filepath.Join(dir, "key")) }, "key"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir, now := t.TempDir(), time.Now()
+			ca.write(t, dir, ca.issue(t, "entry-1", "host", valid))
+			name := func(file string) string { return filepath.Join(dir, file) }
+			store, err := keys.Load(keys.Files{Cert: name("cert"), Key: name("key"), CA: name("ca")}, core.RoleHost)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.edit(dir)
+			if changed, err := store.Check(now); changed || err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Fatalf("changed %v, error %v, want one with %q", changed, err, c.err)
+			}
+			if changed, err := store.Check(now); changed || err != nil {
+				t.Errorf("second check: changed %v, error %v reported again", changed, err)
+			}
+			if store.Identity().Name != "entry-1" || store.Generation() != 0 {
+				t.Errorf("pair of %q, generation %d, is in use", store.Identity().Name, store.Generation())
+			}
+			ca.write(t, dir, ca.issue(t, "entry-3", "host", valid))
+			if changed, err := store.Check(now); !changed || err != nil || store.Identity().Name != "entry-3" {
+				t.Errorf("after the repair: changed %v, error %v, %q in use", changed, err, store.Identity().Name)
+			}
+		})
+	}
+}
+
+// TestSettingsDemandKeys guards against a daemon that serves everybody without
+// being told to.
+func TestSettingsDemandKeys(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		args []string
+		err  string
+	}{
+		{"without keys the daemon refuses to start", nil, "--cert, --key, --ca"},
+		{"one file of three is not enough", []string{"--cert=x"}, "BANYANRUN_INSECURE"},
+		{"insecure and keys exclude each other", []string{"--insecure", "--cert=x", "--key=y", "--ca=z"}, "--insecure"},
+		{"files that are missing are named", []string{"--cert=nowhere", "--key=y", "--ca=z"}, "nowhere"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set := settings(t, append(c.args, "--host=h", "--data-centre=d", "--platform=127.0.0.1:1", "--listen=127.0.0.1:0")...)
+			if _, err := entry.New(set, zerolog.Nop()); err == nil || !strings.Contains(err.Error(), c.err) {
+				t.Errorf("error %v, want one with %s", err, c.err)
+			}
+		})
+	}
+	for listen, insecure := range map[string]bool{"127.0.0.1:0": true, "[::1]:0": true, "0.0.0.0:0": false} {
+		set := settings(t, "--listen="+listen)
+		platform, err := embedded.Start(&set)
+		if err != nil {
+			t.Fatal(err)
+		}
+		platform.Close()
+		if set.Insecure != insecure {
+			t.Errorf("embedded on %s: insecure is %v, want %v", listen, set.Insecure, insecure)
+		}
+	}
+}
+
+// TestConnectionsAreBounded guards against clients that exhaust the host with
+// open connections, and against places that are not freed.
+func TestConnectionsAreBounded(t *testing.T) {
+	address := start(t, "--max-connections=1")
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	// The read ends only because the daemon closes the connection.
+	if n, err := second.Read(make([]byte, 1)); err == nil {
+		t.Fatalf("read %d bytes, want a closed connection", n)
+	}
+	first.Close()
+	ready(t, &http.Client{}, "http://"+address)
+}
--- /dev/null
+++ b/entry/authority_test.go
@@ -0,0 +1,154 @@
+package entry_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Ages of a test certificate: how long it is still valid.
+const (
+	valid   = time.Hour
+	expired = -time.Minute
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// issued is a certificate with its key.
+type issued struct {
+	leaf *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// authority issues test certificates.
+type authority struct{ issued }
+
+func sign(t *testing.T, template *x509.Certificate, by *issued) *issued {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if template.SerialNumber, err = rand.Int(rand.Reader, big.NewInt(1<<62)); err != nil {
+		t.Fatal(err)
+	}
+	template.NotBefore = time.Now().Add(-time.Hour)
+	parent, signer := template, key
+	if by != nil {
+		parent, signer = by.leaf, by.key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &issued{leaf, key}
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	return &authority{*sign(t, &x509.Certificate{
+		Subject: pkix.Name{CommonName: "test authority"}, NotAfter: time.Now().Add(valid),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}, nil)}
+}
+
+// issue returns a certificate for the loopback address.
+func (a *authority) issue(t *testing.T, name, role string, left time.Duration, teams ...string) *issued {
+	t.Helper()
+	return sign(t, &x509.Certificate{
+		Subject:     pkix.Name{CommonName: name, OrganizationalUnit: []string{role}, Organization: teams},
+		NotAfter:    time.Now().Add(left),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}, &a.issued)
+}
+
+// replace writes a file under another name and renames it, so that no check
+// sees a part of it.
+func replace(t *testing.T, dir, name string, data []byte) {
+	t.Helper()
+	file := filepath.Join(dir, name)
+	if err := os.WriteFile(file+".new", data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(file+".new", file); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// write puts a certificate, its key and the authority into dir.
+func (a *authority) write(t *testing.T, dir string, c *issued) {
+	t.Helper()
+	der, err := x509.MarshalPKCS8PrivateKey(c.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	encode := func(kind string, data []byte) []byte {
+		return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data})
+	}
+	replace(t, dir, "ca", encode("CERTIFICATE", a.leaf.Raw))
+	replace(t, dir, "cert", encode("CERTIFICATE", c.leaf.Raw))
+	replace(t, dir, "key", encode("PRIVATE KEY", der))
+}
+
+// config returns a client's configuration. It presents the certificate even if
+// the server does not accept its authority.
+func (a *authority) config(c *issued) *tls.Config {
+	pool := x509.NewCertPool()
+	pool.AddCert(a.leaf)
+	return &tls.Config{
+		RootCAs: pool,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			if c == nil {
+				return &tls.Certificate{}, nil
+			}
+			return &tls.Certificate{Certificate: [][]byte{c.leaf.Raw}, PrivateKey: c.key}, nil
+		},
+	}
+}
+
+// client returns a client with a certificate, or without one.
+func (a *authority) client(c *issued) *http.Client {
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: a.config(c), DisableKeepAlives: true}}
+}
+
+// served returns the serial number of the certificate at an address.
+func (a *authority) served(address string, c *issued) (*big.Int, error) {
+	conn, err := tls.Dial("tcp", address, a.config(c))
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber, nil
+}
+
+// counter reads a counter from the text of /metrics; 0 if it is missing.
+func counter(text, name string) int {
+	for line := range strings.Lines(text) {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
+			n, err := strconv.Atoi(value)
+			if err == nil {
+				return n
+			}
+		}
+	}
+	return 0
+}
