--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -141,7 +141,9 @@
 	}
 	ready(t, who["caller"], base)
 	const doc, job, jobs = "/v1/documents/alpha", "/v1/jobs/j1", "/v1/jobs"
-	const one = `{"id": "j1", "team": "alpha", "kind": "index"}`
+	// The payload lets the stand-in run the job for an hour, so that it is
+	// still running when it is cancelled.
+	const one = `{"id": "j1", "team": "alpha", "kind": "index", "payload": "eyJydW5fbXMiOjM2MDAwMDB9"}`
 	const forOwn, forForeign = `{"name":"cal","role":"caller","teams":["alpha"]}`, `{"name":"dan","role":"caller","teams":["beta"]}`
 	const forHost = `{"name":"entry-3","role":"host"}`
 	forwarded := func(identity string) []string {
@@ -166,6 +168,7 @@
 		{"a caller of another team makes no call", "foreignCaller", "POST", "/v1/call/alpha/index", "", nil, 403},
 		{"a caller of another team reads no status", "foreignCaller", "GET", job, "", nil, 403},
 		{"a caller of another team reads no explanation", "foreignCaller", "GET", job + "/explain", "", nil, 403},
+		{"a caller of another team waits for nothing", "foreignCaller", "GET", job + "/wait?timeout_ms=1", "", nil, 403},
 		{"a caller of another team cancels nothing", "foreignCaller", "DELETE", job, "", nil, 403},
 		{"an operator of another team cancels nothing", "foreignOperator", "DELETE", job, "", nil, 403},
 		{"a caller reads its team's figures", "caller", "GET", "/v1/teams?team=alpha", "", nil, 200},
