Keep the form of ctl.NewClient, count refused peer messages

Other programs build clients without TLS, so the certificate goes to NewSecureClient. A peer message that the receiver refuses no longer counts as ok. A test covers banyanctl with a certificate and a server that is no host.

--- a/ctl/client.go
+++ b/ctl/client.go
@@ -35,9 +35,13 @@
 	http    *http.Client
 }
 
-// NewClient returns a client for the given entry hosts. It uses mutual TLS
-// unless store is nil.
-func NewClient(entry []string, timeout time.Duration, store *keys.Store) *Client {
+// NewClient returns a client for the given entry hosts, without TLS.
+func NewClient(entry []string, timeout time.Duration) *Client {
+	return NewSecureClient(entry, timeout, nil)
+}
+
+// NewSecureClient returns a client that uses mutual TLS unless store is nil.
+func NewSecureClient(entry []string, timeout time.Duration, store *keys.Store) *Client {
 	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	scheme := "http://"
 	if store != nil {
--- a/ctl/client_test.go
+++ b/ctl/client_test.go
@@ -52,7 +52,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			requests = 0
-			c := NewClient([]string{tc.first, address(serving)}, 10*time.Second, nil)
+			c := NewClient([]string{tc.first, address(serving)}, 10*time.Second)
 			resp := c.send(context.Background(), &tc.req)
 			if requests != tc.want || (resp.Failure == nil) != (tc.want == 1) {
 				t.Errorf("second host got %d requests, want %d; %+v", requests, tc.want, resp.Failure)
@@ -82,7 +82,7 @@
 		sent++
 		return Step{Send: &Request{Method: "GET", Path: "/"}, Then: again}
 	}
-	c := NewClient([]string{strings.TrimPrefix(server.URL, "http://")}, time.Minute, nil)
+	c := NewClient([]string{strings.TrimPrefix(server.URL, "http://")}, time.Minute)
 	if r := Run(context.Background(), c, again(nil)); r.Exit != ExitUnfinished || sent != maxRequests+1 {
 		t.Errorf("exit code %d after %d steps", r.Exit, sent)
 	}
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return usage(err).Result
 	}
-	return Run(ctx, NewClient(env.Entry, env.Timeout, store), step)
+	return Run(ctx, NewSecureClient(env.Entry, env.Timeout, store), step)
 }
 
 // parse reads the command line and returns the command's first step, or the help
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -17,6 +21,7 @@
 	"github.com/rs/zerolog"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/ctl"
 	"banyanrun.example/banyanrun/embedded"
 	"banyanrun.example/banyanrun/entry"
 	"banyanrun.example/banyanrun/keys"
@@ -250,6 +255,39 @@
 	}
 }
 
+// TestClientsOverTLS guards against a command line that cannot use its
+// certificate, and against a client that trusts a caller who poses as a host.
+func TestClientsOverTLS(t *testing.T) {
+	ca, dir, own := newAuthority(t), t.TempDir(), t.TempDir()
+	ca.write(t, dir, ca.issue(t, "entry-1", "host", valid))
+	address := startSecure(t, dir)
+	ready(t, ca.client(ca.issue(t, "cal", "caller", valid)), "https://"+address)
+	operator := ca.issue(t, "ada", "operator", valid, "alpha")
+	ca.write(t, own, operator)
+	name := func(file string) string { return filepath.Join(own, file) }
+	args := []string{"--entry", address, "--cert", name("cert"), "--key", name("key"), "--ca", name("ca"), "apply", "-"}
+	var stdout, stderr bytes.Buffer
+	if exit := ctl.Main(t.Context(), args, strings.NewReader(document), &stdout, &stderr); exit != ctl.ExitOK {
+		t.Errorf("apply ended with %d: %s%s", exit, &stdout, &stderr)
+	}
+
+	store, err := keys.Load(keys.Files{Cert: name("cert"), Key: name("key"), CA: name("ca")}, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	impostor := httptest.NewUnstartedServer(http.NotFoundHandler())
+	caller := ca.issue(t, "cal", "caller", valid)
+	impostor.TLS = &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{caller.leaf.Raw}, PrivateKey: caller.key}}}
+	impostor.Config.ErrorLog = log.New(io.Discard, "", 0) // The handshake fails on purpose.
+	impostor.StartTLS()
+	defer impostor.Close()
+	conn, err := store.Dialer(patience)(t.Context(), "tcp", impostor.Listener.Addr().String())
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "dial" || !strings.Contains(err.Error(), `role "caller"`) {
+		t.Errorf("dial gave %v, %v, want an error of dialling about the role", conn, err)
+	}
+}
+
 // TestReload guards against a daemon that needs a restart for a new certificate
 // or authority, and against one that a broken file takes out of service.
 func TestReload(t *testing.T) {
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -78,6 +78,9 @@
 	} else {
 		_, _ = io.Copy(io.Discard, resp.Body) // The body is empty.
 		_ = resp.Body.Close()
+		if resp.StatusCode >= http.StatusBadRequest {
+			result = "refused"
+		}
 	}
 	d.metrics.GetOrCreateCounter(`banyanrun_peer_messages_total{path="` + path + `",result="` + result + `"}`).Inc()
 	d.metrics.GetOrCreateCounter(`banyanrun_peer_bytes_total{path="` + path + `"}`).Add(len(data))
