--- a/entry/request.go
+++ b/entry/request.go
@@ -26,6 +26,8 @@
 	method string
 	path   string
 	body   []byte
+	// requestID is set for interactive requests.
+	requestID string
 	// identity is the caller's, for the header HeaderForwardedFor.
 	identity string
 }
