--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -61,7 +61,7 @@
 func start(t *testing.T, args ...string) string {
 	t.Helper()
 	set := settings(t, append(args, "--listen=127.0.0.1:0", "--keys-check=10ms")...)
-	platform, err := embedded.Start(&set)
+	platform, err := embedded.Start(&set, "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -394,7 +394,7 @@
 	}
 	for listen, insecure := range map[string]bool{"127.0.0.1:0": true, "[::1]:0": true, "0.0.0.0:0": false} {
 		set := settings(t, "--listen="+listen)
-		platform, err := embedded.Start(&set)
+		platform, err := embedded.Start(&set, "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
