Add the harness of the integration tests and its fault proxy

Claims about lost, doubled and mixed work need real processes, broken links and accounts that the scheduler does not keep itself. Package cluster runs entry daemons against the stand-in, with a proxy on every link, and compares the callers' answers with the workers' ledgers. The stand-in can list a worker under another address, so that a proxy leads to it.

--- /dev/null
+++ b/integration/cluster/document.go
@@ -0,0 +1,110 @@
+package cluster
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Team is the team of the test document.
+const Team = "blue"
+
+// Kinds of the test document.
+const (
+	// Batch is idempotent, Billed is not.
+	Batch  = "batch"
+	Billed = "billed"
+	Gang   = "gang"
+	// Lookup and BilledLookup are interactive; only the first is idempotent.
+	Lookup       = "lookup"
+	BilledLookup = "billed-lookup"
+)
+
+// GangSize is the number of tasks of a gang.
+const GangSize = 3
+
+// Document returns the test document with a weight, which tests change.
+func Document(weight int) string {
+	return `{
+  "schema": 1, "team": "blue", "service": "integration", "weight": ` + strconv.Itoa(weight) + `,
+  "quota": {"cpus": 64, "memory_mb": 131072, "slots": 64, "connections": 512},
+  "kinds": [
+    {"name": "batch", "urgency": "normal", "idempotent": true,
+     "request": {"cpus": 1, "memory_mb": 512, "slots": 1}, "run_time": "300ms",
+     "deadline": "10m", "max_attempts": 10, "queue_limit": 5000},
+    {"name": "billed", "urgency": "normal", "idempotent": false,
+     "request": {"cpus": 1, "memory_mb": 512, "slots": 1}, "run_time": "300ms",
+     "deadline": "10m", "max_attempts": 1, "queue_limit": 5000},
+    {"name": "gang", "urgency": "normal", "idempotent": true,
+     "request": {"cpus": 1, "memory_mb": 512, "slots": 1}, "run_time": "300ms",
+     "gang_size": 3, "restart_gang": true,
+     "deadline": "10m", "max_attempts": 10, "queue_limit": 500},
+    {"name": "replica", "urgency": "normal", "idempotent": true,
+     "request": {"cpus": 0.5, "memory_mb": 256, "slots": 1}, "run_time": "1h",
+     "deadline": "720h", "max_attempts": 10, "queue_limit": 10},
+    {"name": "lookup", "urgency": "interactive", "idempotent": true,
+     "request": {"cpus": 0.1, "memory_mb": 64, "slots": 1, "connections": 1}, "run_time": "40ms",
+     "deadline": "20s", "max_attempts": 6, "queue_limit": 1000, "progress_timeout": "1s"},
+    {"name": "billed-lookup", "urgency": "interactive", "idempotent": false,
+     "request": {"cpus": 0.1, "memory_mb": 64, "slots": 1, "connections": 1}, "run_time": "40ms",
+     "deadline": "20s", "max_attempts": 6, "queue_limit": 1000, "progress_timeout": "1s"}
+  ],
+  "services": [{"name": "standing", "kind": "replica", "replicas": 2, "payload": "{\"run_ms\":3600000}"}]
+}`
+}
+
+// Edit is the answer to an operator's edit.
+type Edit struct {
+	Status   int
+	Version  wire.DocumentVersion
+	Conflict wire.DocumentConflict
+}
+
+// PutDocument edits the test document at a host.
+func (c *Cluster) PutDocument(h *Host, base core.Revision, weight int) (Edit, error) {
+	header := http.Header{}
+	header.Set(wire.HeaderIfMatch, strconv.FormatInt(int64(base), 10))
+	header.Set(wire.HeaderAuthor, "operator")
+	r, err := send(http.MethodPut, "http://"+h.Address+wire.PathDocuments+"/"+Team, header, []byte(Document(weight)))
+	if err != nil {
+		return Edit{}, err
+	}
+	e := Edit{Status: r.status}
+	switch r.status {
+	case http.StatusOK:
+		err = json.Unmarshal(r.body, &e.Version)
+	case http.StatusConflict:
+		err = json.Unmarshal(r.body, &e.Conflict)
+	}
+	return e, err
+}
+
+// Revision returns the revision of the test document in force at a host, or 0.
+func (h *Host) Revision() core.Revision {
+	var v wire.DocumentVersion
+	if err := getJSON("http://"+h.Address+wire.PathDocuments+"/"+Team, &v); err != nil {
+		return 0
+	}
+	return v.Revision
+}
+
+// ApplyDocument applies the test document and waits until it is in force at
+// every host.
+func (c *Cluster) ApplyDocument() {
+	c.T.Helper()
+	e, err := c.PutDocument(c.Hosts[0], 0, 1)
+	if err != nil || e.Status != http.StatusOK {
+		c.T.Fatalf("apply document: status %d, error %v", e.Status, err)
+	}
+	c.Until("the document is in force at every host", func() bool {
+		for _, h := range c.Hosts {
+			if h.Revision() < e.Version.Revision {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/integration/cluster/host.go
@@ -0,0 +1,257 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+
+	"banyanrun.example/banyanrun/integration/faultproxy"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/wire"
+)
+
+const (
+	// firstPort is the port of the first host on the cluster's address.
+	firstPort = 7600
+	// logLines is how much of a host's log a failed test prints.
+	logLines = 25
+)
+
+// Host is one entry host: its process and the proxies of its links.
+type Host struct {
+	ID         string
+	DataCentre string
+	// Address is where callers reach the host, without a proxy.
+	Address string
+	// StoreLink leads from the host to the platform, PeerLink from its peers
+	// to the host.
+	StoreLink *faultproxy.Link
+	PeerLink  *faultproxy.Link
+
+	cluster *Cluster
+	starts  int
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	err    error
+}
+
+// AddHost lists and starts another host.
+func (c *Cluster) AddHost(dc string) *Host {
+	c.T.Helper()
+	c.hosts++
+	h := &Host{
+		ID: fmt.Sprintf("%s-host-%d", dc, c.hosts), DataCentre: dc, cluster: c,
+		Address: net.JoinHostPort(c.ip, fmt.Sprint(firstPort+c.hosts)),
+	}
+	h.StoreLink = c.link("127.0.0.1:0", c.Standin.StoreAddress())
+	h.PeerLink = c.link("127.0.0.1:0", h.Address)
+	err := c.Standin.ListHost(context.Background(), wire.ListedHost{
+		ID: h.ID, Address: h.PeerLink.Address(), DataCentre: dc, Region: Region,
+	})
+	if err != nil {
+		c.T.Fatalf("list host %s: %v", h.ID, err)
+	}
+	c.Hosts = append(c.Hosts, h)
+	c.T.Cleanup(h.report)
+	c.T.Cleanup(h.Kill)
+	h.Start()
+	return h
+}
+
+// Start starts the process.
+func (h *Host) Start() {
+	c := h.cluster
+	h.starts++
+	log, err := os.OpenFile(h.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		c.T.Fatalf("open log of host %s: %v", h.ID, err)
+	}
+	defer log.Close()
+	args := []string{
+		"--host", h.ID, "--listen", h.Address, "--advertise", h.PeerLink.Address(),
+		"--data-centre", h.DataCentre, "--region", Region, "--platform", h.StoreLink.Address(),
+		"--owner-lease", "2s", "--task-lease", "4s", "--sync-wait", "1s",
+		"--store-timeout", "1s", "--worker-timeout", "2s", "--drain-timeout", "60s",
+		"--journal-rate", "20", "--seed", fmt.Sprint(c.cfg.Seed + uint64(c.hosts)),
+	}
+	if os.Getenv(tracesVariable) != "" {
+		args = append(args, "--record", filepath.Join(c.folder, fmt.Sprintf("%s.%d.record", h.ID, h.starts)))
+	}
+	cmd := exec.Command(c.cfg.Binary, args...)
+	// The proxies carry plain TCP, and who may do what is tested elsewhere.
+	cmd.Env = append(os.Environ(), "BANYANRUN_INSECURE=true")
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		c.T.Fatalf("start host %s: %v", h.ID, err)
+	}
+	exited := make(chan struct{})
+	h.mu.Lock()
+	h.cmd, h.exited, h.err = cmd, exited, nil
+	h.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		h.mu.Lock()
+		h.err = err
+		h.mu.Unlock()
+		close(exited)
+	}()
+}
+
+func (h *Host) logPath() string { return filepath.Join(h.cluster.folder, h.ID+".log") }
+
+// signal sends a signal to the process. An error means that it has ended.
+func (h *Host) signal(s os.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.cmd.Process.Signal(s)
+}
+
+// Pause stops the process without ending it.
+func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (h *Host) Resume() { h.signal(syscall.SIGCONT) }
+
+// Kill ends the process at once.
+func (h *Host) Kill() {
+	h.signal(syscall.SIGKILL)
+	<-h.ended()
+}
+
+// Terminate asks for a planned stop.
+func (h *Host) Terminate() { h.signal(syscall.SIGTERM) }
+
+// ended is closed when the process has ended.
+func (h *Host) ended() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.exited
+}
+
+// Alive reports whether the process has not ended.
+func (h *Host) Alive() bool {
+	select {
+	case <-h.ended():
+		return false
+	default:
+		return true
+	}
+}
+
+// Stop performs a planned stop and fails the test if it is not clean.
+func (h *Host) Stop() {
+	t := h.cluster.T
+	t.Helper()
+	h.Terminate()
+	h.cluster.Until(h.ID+" has ended", func() bool { return !h.Alive() })
+	h.mu.Lock()
+	err := h.err
+	h.mu.Unlock()
+	if err != nil {
+		t.Errorf("host %s did not stop cleanly: %v", h.ID, err)
+	}
+}
+
+// Remove takes the host off the platform's list and out of the cluster.
+func (h *Host) Remove() {
+	c := h.cluster
+	if err := c.Standin.ActOnHost(context.Background(), h.ID, standin.ActionGone); err != nil {
+		c.T.Fatalf("remove host %s: %v", h.ID, err)
+	}
+	c.Hosts = slices.DeleteFunc(c.Hosts, func(o *Host) bool { return o == h })
+}
+
+// Leave shows the host as leaving in the platform's list.
+func (h *Host) Leave() {
+	if err := h.cluster.Standin.ActOnHost(context.Background(), h.ID, standin.ActionLeave); err != nil {
+		h.cluster.T.Fatalf("mark host %s as leaving: %v", h.ID, err)
+	}
+}
+
+// Ready reports whether the host says that it can serve.
+func (h *Host) Ready() bool {
+	status, _, err := get("http://" + h.Address + "/readyz")
+	return err == nil && status == http.StatusOK
+}
+
+// Owns reports whether the host shows itself as the owner, and its epoch.
+func (h *Host) Owns() (uint64, bool) {
+	var view wire.HostsView
+	if err := getJSON("http://"+h.Address+wire.PathHostsView, &view); err != nil {
+		return 0, false
+	}
+	for _, v := range view.Hosts {
+		if string(v.ID) == h.ID && v.Owner {
+			return uint64(v.Epoch), true
+		}
+	}
+	return 0, false
+}
+
+func (c *Cluster) allReady() bool {
+	for _, h := range c.Hosts {
+		if !h.Ready() {
+			return false
+		}
+	}
+	return true
+}
+
+// In returns the hosts of a data centre.
+func (c *Cluster) In(dc string) []*Host {
+	var out []*Host
+	for _, h := range c.Hosts {
+		if h.DataCentre == dc {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Owner waits for an owner of a data centre other than the given hosts.
+func (c *Cluster) Owner(dc string, except ...*Host) *Host {
+	c.T.Helper()
+	var owner *Host
+	c.Until("data centre "+dc+" has an owner", func() bool {
+		for _, h := range c.In(dc) {
+			if slices.Contains(except, h) || !h.Alive() {
+				continue
+			}
+			if _, ok := h.Owns(); ok {
+				owner = h
+				return true
+			}
+		}
+		return false
+	})
+	return owner
+}
+
+// report prints the end of the log of a failed test, and fails a test in which
+// the race detector found something.
+func (h *Host) report() {
+	t := h.cluster.T
+	data, err := os.ReadFile(h.logPath())
+	if err != nil {
+		t.Errorf("read log of host %s: %v", h.ID, err)
+		return
+	}
+	if at := bytes.Index(data, []byte("DATA RACE")); at >= 0 {
+		t.Errorf("host %s has a data race:\n%s", h.ID, data[at:min(len(data), at+4000)])
+	}
+	if t.Failed() {
+		lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+		t.Logf("log of %s:\n%s", h.ID, strings.Join(lines[max(0, len(lines)-logLines):], "\n"))
+	}
+}
--- /dev/null
+++ b/integration/main_test.go
@@ -0,0 +1,53 @@
+// Package integration tests real entry daemons behind a fault-injecting proxy.
+// Each test is named after the failure that it guards against, and judges by the
+// workers' ledgers and the callers' answers.
+package integration
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/integration/cluster"
+)
+
+// binary is the entry daemon under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "banyanrun-integration")
+	if err == nil {
+		binary, err = cluster.Build(folder)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// turn bounds the clusters that run at a time, so that their processes do not
+// starve each other.
+var turn = make(chan struct{}, 4)
+
+// start starts a cluster in parallel with other tests.
+func start(t *testing.T, seed uint64, dataCentres, hosts int) *cluster.Cluster {
+	t.Helper()
+	t.Parallel()
+	turn <- struct{}{}
+	t.Cleanup(func() { <-turn })
+	return cluster.Start(t, cluster.Config{
+		Binary: binary, DataCentres: dataCentres, Hosts: hosts, Workers: 4, Seed: seed,
+	})
+}
+
+// submitMany submits n jobs of a kind and waits until all are accepted.
+func submitMany(c *cluster.Cluster, hosts []*cluster.Host, kind string, n int, run time.Duration) {
+	c.T.Helper()
+	for i := range n {
+		c.MustSubmit(hosts, fmt.Sprintf("%s-%d", kind, i), kind, run)
+	}
+}
--- a/standin/admin.go
+++ b/standin/admin.go
@@ -100,6 +100,15 @@
 	return closedUnless(s.platform.post(ctx, store.HostListed{Host: h}))
 }
 
+// ListWorker changes how the host list shows a worker, for example to an address
+// that leads through a proxy.
+func (s *Server) ListWorker(ctx context.Context, w wire.ListedWorker) error {
+	if s.byID[w.ID] == nil {
+		return fmt.Errorf("worker %q does not exist", w.ID)
+	}
+	return closedUnless(s.platform.post(ctx, store.WorkerListed{Worker: w}))
+}
+
 // ActOnHost marks an entry host as leaving or gone.
 func (s *Server) ActOnHost(ctx context.Context, id string, a Action) error {
 	if a != ActionLeave && a != ActionGone {
