Keep a restored gang in settling until all its tasks are found

When an owner died while a gang ran, the successor took the gang as running as soon as the first worker reported a task. The reports of the other tasks were then taken for orphans and stopped, and the gang never went on: the waiting tasks were queued only in the state settling. The state is now kept until every task has been found or every worker has answered; then the missing ones are queued.

--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -81,7 +81,10 @@
 	}
 	t.state, t.started, t.doubtful, t.resend = taskRunning, r.now, false, 0
 	j.began = true
-	if !j.state.Final() && !j.hasTaskIn(taskStarting) && !j.hasTaskIn(taskUncertain) {
+	// A worker that has not answered yet may run the other tasks of a restored
+	// gang, so the job stays in settling until they are found or queued.
+	settling := j.state == JobSettling && j.hasTaskIn(taskWaiting)
+	if !j.state.Final() && !settling && !j.hasTaskIn(taskStarting) && !j.hasTaskIn(taskUncertain) {
 		j.state = JobRunning
 		r.jobs.note(j, r.now, "running", t.worker)
 	}
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -192,6 +192,9 @@
 	}
 	for _, j := range r.jobs.ordered() {
 		if j.state == JobSettling && !j.hasTaskIn(taskUncertain) {
+			if j.runsSomewhere() {
+				j.state = JobRunning // Its other tasks start again.
+			}
 			r.requeue(j)
 		}
 	}
