--- a/integration/cluster/caller.go
+++ b/integration/cluster/caller.go
@@ -82,9 +82,12 @@
 	if status != http.StatusOK {
 		return fmt.Errorf("status %d: %s", status, body)
 	}
-	return json.Unmarshal(body, into)
+	return decode(body, into)
 }
 
+// decode decodes an answer.
+func decode(body []byte, into any) error { return json.Unmarshal(body, into) }
+
 // Refused reports whether the connection was refused, so that the request was
 // surely not received.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/integration/cluster/inspect.go
@@ -0,0 +1,57 @@
+package cluster
+
+import (
+	"net/http"
+	"net/url"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// GetJSON reads a view of a host. It fails the test if the host does not answer.
+func (c *Cluster) GetJSON(h *Host, path string, into any) {
+	c.T.Helper()
+	if err := getJSON("http://"+h.Address+path, into); err != nil {
+		c.T.Fatalf("read %s of %s: %v", path, h.ID, err)
+	}
+}
+
+// State returns the state of a job at a host, or accepting if it is not known.
+func (c *Cluster) State(h *Host, id string) core.JobState {
+	var s wire.JobStatus
+	if err := getJSON("http://"+h.Address+wire.PathJobs+"/"+id, &s); err != nil {
+		return core.JobAccepting
+	}
+	return s.State
+}
+
+// Journaled reports whether the journal of a data centre in the store has a
+// matching record.
+func (c *Cluster) Journaled(dc string, match func(core.Record) bool) bool {
+	c.T.Helper()
+	query := url.Values{"prefix": {"cells/" + dc + "/journal/"}}.Encode()
+	var list wire.ItemList
+	status, body, err := get("http://" + c.Standin.StoreAddress() + wire.PathKV + "?" + query)
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	if err := decode(body, &list); err != nil {
+		c.T.Fatalf("decode journal of %s: %v", dc, err)
+	}
+	for _, item := range list.Items {
+		value, err := wire.DecodeValue(item.Value)
+		if err != nil {
+			c.T.Fatalf("decode journal group %s: %v", item.Key, err)
+		}
+		group, ok := value.(core.JournalGroup)
+		if !ok {
+			continue
+		}
+		for _, r := range group.Records {
+			if match(r) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -4,13 +4,19 @@
 	"testing"
 	"time"
 
+	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/integration/cluster"
+	"banyanrun.example/banyanrun/integration/faultproxy"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/wire"
 )
 
+// Guards against jobs that are lost or run twice when an owner dies with jobs in
+// every state.
 func TestKilledOwnerLosesNoJobAndDoublesNone(t *testing.T) {
 	c := start(t, 101, 1, 3)
 	owner := c.Owner("a")
-	// 32 slots: the later jobs are still queued when the owner dies.
+	// The workers have 32 slots: the later jobs are still queued.
 	submitMany(c, c.Hosts, cluster.Gang, 2, 3*time.Second)
 	submitMany(c, c.Hosts, cluster.Billed, 20, 3*time.Second)
 	submitMany(c, c.Hosts, cluster.Batch, 20, 2*time.Second)
@@ -19,4 +25,182 @@
 	c.Owner("a", owner)
 	owner.Start()
 	c.Settle()
+	checkReplicas(c)
+}
+
+// checkReplicas waits until exactly the declared replicas of the service run.
+func checkReplicas(c *cluster.Cluster) {
+	c.T.Helper()
+	c.Until("two replicas of the service run", func() bool {
+		running := 0
+		for _, w := range c.Ledger().Workers {
+			for _, e := range w.Entries {
+				if e.Kind == "replica" && e.EndUnixUS == 0 {
+					running++
+				}
+			}
+		}
+		return running == 2
+	})
+}
+
+// Guards against a start that was decided before a pause and sent after another
+// host has taken over and started the job elsewhere.
+func TestOwnerPausedPastItsLeaseStartsNothingTwice(t *testing.T) {
+	c := start(t, 102, 1, 3)
+	owner := c.Owner("a")
+	// Answers of the store are held back, so that the owner is paused between
+	// the record of the assignment and the start.
+	owner.StoreLink.Set(faultproxy.Faults{Delay: 300 * time.Millisecond})
+	c.MustSubmit(c.Hosts, "last", cluster.Billed, 300*time.Millisecond)
+	c.Until("the assignment is in the journal", func() bool {
+		return c.Journaled("a", func(r core.Record) bool { return r.Kind == core.RecordAssigned && r.Job == "last" })
+	})
+	owner.Pause()
+	successor := c.Owner("a", owner)
+	c.Until("the job has ended under the successor", func() bool {
+		return c.State(successor, "last").Final()
+	})
+	owner.Resume()
+	c.Until("the paused owner has stepped down", func() bool {
+		_, owns := owner.Owns()
+		return !owns
+	})
+	c.Settle()
+}
+
+// Guards against interactive calls and running jobs that depend on the store.
+func TestStoreOutageLongerThanEveryLeaseLeavesCallsServed(t *testing.T) {
+	for _, outage := range []store.Outage{store.OutageRefuse, store.OutageHang} {
+		t.Run("the store answers with "+string(outage), func(t *testing.T) {
+			c := start(t, 103, 1, 2)
+			c.Owner("a")
+			submitMany(c, c.Hosts, cluster.Batch, 8, 12*time.Second)
+			c.Until("jobs run", func() bool { return c.Started("batch-7") })
+			c.StoreFaults(store.Faults{Outage: outage})
+			// Three task leases, which exceed the owner's lease and the
+			// standby's wait as well.
+			calls := serveFor(c, 12*time.Second)
+			c.StoreFaults(store.Faults{})
+			for _, o := range calls {
+				if !o.Answered {
+					t.Errorf("call %s was not served in the outage: %v", o.ID, o.Err)
+				}
+			}
+			c.Settle()
+			for _, e := range c.Ledger().Summary.Repeated {
+				if e.Entry == "task" {
+					t.Errorf("job %s was started %d times although its worker and owner were alive", e.Job, e.Starts)
+				}
+			}
+		})
+	}
+}
+
+// Guards against work that is lost or doubled because a write took effect and
+// its answer was lost.
+func TestLostAnswersOfTheStoreLoseAndDoubleNothing(t *testing.T) {
+	c := start(t, 104, 1, 2)
+	c.Owner("a")
+	c.StoreFaults(store.Faults{LoseEvery: 2})
+	submitMany(c, c.Hosts, cluster.Billed, 10, 200*time.Millisecond)
+	submitMany(c, c.Hosts, cluster.Batch, 10, 200*time.Millisecond)
+	c.Resolve()
+	c.Settle()
+}
+
+// Guards against the same when the owner dies while answers are lost.
+func TestOwnerKilledWhileTheStoreLosesAnswers(t *testing.T) {
+	c := start(t, 105, 1, 3)
+	owner := c.Owner("a")
+	c.StoreFaults(store.Faults{LoseEvery: 3})
+	submitMany(c, c.Hosts, cluster.Billed, 20, 2*time.Second)
+	submitMany(c, c.Hosts, cluster.Gang, 2, 2*time.Second)
+	owner.Kill()
+	submitMany(c, c.Hosts, cluster.Batch, 10, 500*time.Millisecond)
+	c.Owner("a", owner)
+	c.Resolve()
+	owner.Start()
+	c.Settle()
+}
+
+// Guards against lost or doubled work, and reverted documents, of a data centre
+// that is cut off from the platform and from its peers and returns.
+func TestDataCentreCutOffAndBack(t *testing.T) {
+	c := start(t, 106, 2, 2)
+	c.Owner("a")
+	c.Owner("b")
+	submitMany(c, c.In("b"), cluster.Batch, 12, 6*time.Second)
+	submitMany(c, c.In("a"), cluster.Billed, 4, time.Second)
+	cut := faultproxy.Faults{SilenceUp: true, SilenceDown: true}
+	for _, h := range c.In("b") {
+		h.StoreLink.Set(cut)
+	}
+	e, err := c.PutDocument(c.In("a")[0], c.In("a")[0].Revision(), 2)
+	if err != nil || e.Status != 200 {
+		t.Fatalf("edit during the cut: status %d, error %v", e.Status, err)
+	}
+	for _, o := range serveAt(c, c.In("b"), 8*time.Second) {
+		if !o.Answered {
+			t.Errorf("call %s was not served in the cut data centre: %v", o.ID, o.Err)
+		}
+	}
+	for _, h := range c.In("b") {
+		h.StoreLink.Set(faultproxy.Faults{})
+		h.StoreLink.Reset()
+	}
+	c.Until("the edit is in force at every host", func() bool {
+		for _, h := range c.Hosts {
+			if h.Revision() != e.Version.Revision {
+				return false
+			}
+		}
+		return true
+	})
+	c.Settle()
+}
+
+// Guards against an edit that is lost without its operator learning of it.
+func TestConcurrentEditsShowTheConflictAndOneWins(t *testing.T) {
+	c := start(t, 107, 2, 2)
+	base := c.Hosts[0].Revision()
+	edits := make([]cluster.Edit, len(c.Hosts))
+	together(len(c.Hosts), func(i int) {
+		var err error
+		if edits[i], err = c.PutDocument(c.Hosts[i], base, 10+i); err != nil {
+			t.Errorf("edit at %s: %v", c.Hosts[i].ID, err)
+		}
+	})
+	won := -1
+	for i, e := range edits {
+		switch e.Status {
+		case 200:
+			if won >= 0 {
+				t.Errorf("edits %d and %d both won", won, i)
+			}
+			won = i
+		case 409:
+			if e.Conflict.InForce == nil || len(e.Conflict.Proposed) == 0 {
+				t.Errorf("conflict of edit %d does not show both versions: %+v", i, e.Conflict)
+			}
+		default:
+			t.Errorf("edit %d got status %d", i, e.Status)
+		}
+	}
+	if won < 0 {
+		t.Fatalf("no edit won")
+	}
+	c.Until("the winner is in force at every host", func() bool {
+		for _, h := range c.Hosts {
+			if h.Revision() != edits[won].Version.Revision {
+				return false
+			}
+		}
+		return true
+	})
+	var history wire.DocumentHistory
+	c.GetJSON(c.Hosts[0], wire.PathDocuments+"/"+cluster.Team+"/"+wire.ElementHistory, &history)
+	if len(history.Versions) != 2 {
+		t.Errorf("history has %d versions, want the first and the winner", len(history.Versions))
+	}
 }
