--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,8 @@
 
 clean: ## remove build results
 	rm -rf $(BIN) out
+
+DURATION := 3m
+
+soak: ## play random pairs of faults for DURATION and check the accounts
+	go run ./integration/soak --duration $(DURATION)
--- a/integration/cluster/caller.go
+++ b/integration/cluster/caller.go
@@ -24,6 +24,9 @@
 const (
 	// requestLimit bounds one request of a caller.
 	requestLimit = 75 * time.Second
+	// probeLimit bounds a read of a view, so that a paused host does not hold
+	// up the wait for a condition.
+	probeLimit = 3 * time.Second
 	// askAgain is the pause before a caller asks again.
 	askAgain = 100 * time.Millisecond
 	// waitMS is how long one wait for a job's outcome may take.
@@ -37,6 +40,9 @@
 	Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext},
 }
 
+// probe is the client of views, which a host in good health answers at once.
+var probe = &http.Client{Timeout: probeLimit, Transport: client.Transport}
+
 // response is a whole answer.
 type response struct {
 	status int
@@ -44,8 +50,13 @@
 	body   []byte
 }
 
-// send performs one request.
+// send performs one request of a caller.
 func send(method, url string, header http.Header, body []byte) (*response, error) {
+	return sendBy(client, method, url, header, body)
+}
+
+// sendBy performs one request.
+func sendBy(by *http.Client, method, url string, header http.Header, body []byte) (*response, error) {
 	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
@@ -53,7 +64,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	resp, err := client.Do(req)
+	resp, err := by.Do(req)
 	if err != nil {
 		return nil, err
 	}
@@ -65,8 +76,9 @@
 	return &response{resp.StatusCode, resp.Header, data}, nil
 }
 
+// get reads a view.
 func get(url string) (int, []byte, error) {
-	r, err := send(http.MethodGet, url, nil, nil)
+	r, err := sendBy(probe, http.MethodGet, url, nil, nil)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/integration/cluster/inspect.go
+++ b/integration/cluster/inspect.go
@@ -55,3 +55,26 @@
 	}
 	return false
 }
+
+// Wait waits for the outcome of a job at one host, as one request.
+func (c *Cluster) Wait(h *Host, id string) (int, []byte, error) {
+	r, err := send(http.MethodGet, "http://"+h.Address+wire.PathJobs+"/"+id+"/"+wire.ElementWait, nil, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	return r.status, r.body, nil
+}
+
+// WorkerState returns the state of a worker as a host sees it, or an empty one.
+func (c *Cluster) WorkerState(h *Host, id string) string {
+	var view wire.WorkersView
+	if err := getJSON("http://"+h.Address+wire.PathWorkers, &view); err != nil {
+		return ""
+	}
+	for _, w := range view.Workers {
+		if string(w.ID) == id {
+			return w.State.String()
+		}
+	}
+	return ""
+}
--- a/integration/owner_test.go
+++ b/integration/owner_test.go
@@ -71,6 +71,7 @@
 
 // Guards against interactive calls and running jobs that depend on the store.
 func TestStoreOutageLongerThanEveryLeaseLeavesCallsServed(t *testing.T) {
+	t.Parallel()
 	for _, outage := range []store.Outage{store.OutageRefuse, store.OutageHang} {
 		t.Run("the store answers with "+string(outage), func(t *testing.T) {
 			c := start(t, 103, 1, 2)
--- /dev/null
+++ b/integration/soak/main.go
@@ -0,0 +1,69 @@
+// Command soak draws pairs of faults at random, lets them meet real entry
+// daemons under load, and checks the accounts after each pair. Its findings are
+// reproduced with the seed that it prints, and become integration tests.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"banyanrun.example/banyanrun/integration/cluster"
+)
+
+// settings are the flags.
+type settings struct {
+	Duration time.Duration `long:"duration" default:"3m" description:"time after which no further round begins"`
+	Seed     uint64        `long:"seed" description:"seed of the first round; the time of the start if zero"`
+	Rounds   int           `long:"rounds" default:"1000" description:"largest number of rounds"`
+}
+
+func main() { os.Exit(run()) }
+
+// run returns the exit code.
+func run() int {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		return 2
+	}
+	folder, err := os.MkdirTemp("", "banyanrun-soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	binary, err := cluster.Build(folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	seed := set.Seed
+	if seed == 0 {
+		seed = uint64(time.Now().UnixMilli())
+	}
+	failed, rounds := 0, 0
+	for began := time.Now(); time.Since(began) < set.Duration && rounds < set.Rounds; rounds++ {
+		if !play(binary, seed+uint64(rounds)) {
+			failed++
+		}
+	}
+	fmt.Printf("%d rounds, %d failed\n", rounds, failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
+
+// play plays one round and reports whether its accounts are right.
+func play(binary string, seed uint64) bool {
+	t := newReporter(fmt.Sprintf("seed-%d", seed))
+	t.run(func() { round(t, binary, seed) })
+	verdict := "ok"
+	if t.Failed() {
+		verdict = "FAILED; repeat with --rounds 1 --seed " + fmt.Sprint(seed)
+	}
+	fmt.Printf("seed %d: %s\n", seed, verdict)
+	return !t.Failed()
+}
--- /dev/null
+++ b/integration/soak/round.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"banyanrun.example/banyanrun/integration/cluster"
+	"banyanrun.example/banyanrun/integration/faultproxy"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+const (
+	// hosts is the number of entry hosts of the only data centre.
+	hosts = 3
+	// jobs is the number of jobs of a round.
+	jobs = 60
+	// longestFault exceeds the task lease of 4 s.
+	longestFault = 9 * time.Second
+)
+
+// fault is one kind of fault. It lasts until end is called.
+type fault struct {
+	name string
+	// lossy faults make workers lose tasks.
+	lossy bool
+	begin func(*cluster.Cluster, *rand.Rand) (end func())
+}
+
+// anyHost draws a host.
+func anyHost(c *cluster.Cluster, r *rand.Rand) *cluster.Host { return c.Hosts[r.IntN(len(c.Hosts))] }
+
+// anyWorker draws a worker.
+func anyWorker(c *cluster.Cluster, r *rand.Rand) string {
+	list := c.Standin.Workers()
+	return list[r.IntN(len(list))].ID
+}
+
+// faults are the kinds of faults that pairs are drawn from.
+var faults = []fault{
+	{"kill the owner", false, func(c *cluster.Cluster, _ *rand.Rand) func() { return kill(c.Owner("a")) }},
+	{"kill any host", false, func(c *cluster.Cluster, r *rand.Rand) func() { return kill(anyHost(c, r)) }},
+	{"pause the owner", false, func(c *cluster.Cluster, _ *rand.Rand) func() {
+		h := c.Owner("a")
+		h.Pause()
+		return h.Resume
+	}},
+	{"store refuses", false, func(c *cluster.Cluster, _ *rand.Rand) func() {
+		return storeFault(c, store.Faults{Outage: store.OutageRefuse})
+	}},
+	{"store hangs", false, func(c *cluster.Cluster, _ *rand.Rand) func() {
+		return storeFault(c, store.Faults{Outage: store.OutageHang})
+	}},
+	{"store loses answers", false, func(c *cluster.Cluster, r *rand.Rand) func() {
+		return storeFault(c, store.Faults{LoseEvery: 2 + r.Int64N(3)})
+	}},
+	{"store is slow", false, func(c *cluster.Cluster, r *rand.Rand) func() {
+		return storeFault(c, store.Faults{DelayMS: 100 + r.Int64N(700)})
+	}},
+	{"owner cut off from the store", false, func(c *cluster.Cluster, _ *rand.Rand) func() {
+		return cut(c.Owner("a").StoreLink, faultproxy.Faults{SilenceUp: true, SilenceDown: true})
+	}},
+	{"peers cannot reach a host", false, func(c *cluster.Cluster, r *rand.Rand) func() {
+		return cut(anyHost(c, r).PeerLink, faultproxy.Faults{Refuse: true})
+	}},
+	{"answers of a worker go silent", true, func(c *cluster.Cluster, r *rand.Rand) func() {
+		return cut(c.WorkerLinks[anyWorker(c, r)], faultproxy.Faults{SilenceDown: true})
+	}},
+	{"link to a worker is slow", false, func(c *cluster.Cluster, r *rand.Rand) func() {
+		return cut(c.WorkerLinks[anyWorker(c, r)], faultproxy.Faults{Delay: time.Duration(r.IntN(600)) * time.Millisecond})
+	}},
+	{"worker restarts", true, func(c *cluster.Cluster, r *rand.Rand) func() {
+		id := anyWorker(c, r)
+		c.Worker(id, standin.WorkerAction{Action: standin.ActionKill})
+		return func() { c.Worker(id, standin.WorkerAction{Action: standin.ActionRestart}) }
+	}},
+	{"worker misdirects and cuts answers", false, func(c *cluster.Cluster, r *rand.Rand) func() {
+		f := worker.Faults{MisdirectNext: 3, TruncateNext: 3}
+		c.Worker(anyWorker(c, r), standin.WorkerAction{Action: standin.ActionFaults, Faults: f})
+		return func() {}
+	}},
+}
+
+func kill(h *cluster.Host) func() {
+	h.Kill()
+	return h.Start
+}
+
+func storeFault(c *cluster.Cluster, f store.Faults) func() {
+	c.StoreFaults(f)
+	return func() { c.StoreFaults(store.Faults{}) }
+}
+
+func cut(link *faultproxy.Link, f faultproxy.Faults) func() {
+	link.Set(f)
+	return func() {
+		link.Set(faultproxy.Faults{})
+		link.Reset()
+	}
+}
+
+// round plays one pair of faults under load.
+func round(t *reporter, binary string, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, seed))
+	first, second := faults[r.IntN(len(faults))], faults[r.IntN(len(faults))]
+	t.Logf("%s; %s", first.name, second.name)
+	c := cluster.Start(t, cluster.Config{Binary: binary, DataCentres: 1, Hosts: hosts, Workers: 4, Seed: seed})
+	if first.lossy || second.lossy {
+		c.Book.WorkersFail()
+	}
+	c.Owner("a")
+	all := append([]*cluster.Host{}, c.Hosts...)
+	gap := time.Duration(r.Int64N(int64(3 * time.Second)))
+	lasts := time.Duration(r.Int64N(int64(longestFault)))
+	var done atomic.Bool
+	var load conc.WaitGroup
+	load.Go(func() { submitLoad(c, all, rand.New(rand.NewPCG(seed, 1))) })
+	load.Go(func() { callLoad(c, all, &done) })
+	time.Sleep(gap)
+	endFirst := first.begin(c, r)
+	time.Sleep(gap / 2)
+	endSecond := second.begin(c, r)
+	time.Sleep(lasts)
+	endFirst()
+	time.Sleep(gap / 2)
+	endSecond()
+	done.Store(true)
+	load.Wait()
+	for _, h := range all {
+		if !h.Alive() {
+			h.Start()
+		}
+	}
+	c.Settle()
+}
+
+// submitLoad submits the jobs of a round. Submits without an answer are settled
+// in the end.
+func submitLoad(c *cluster.Cluster, all []*cluster.Host, r *rand.Rand) {
+	kinds := []string{cluster.Batch, cluster.Batch, cluster.Billed, cluster.Billed, cluster.Gang}
+	var open conc.WaitGroup
+	for i := range jobs {
+		kind := kinds[r.IntN(len(kinds))]
+		run := time.Duration(100+r.IntN(4000)) * time.Millisecond
+		at := r.IntN(len(all))
+		open.Go(func() {
+			// A refusal or a lost answer is booked and judged in the end.
+			_ = c.Submit(all[at:at+1], fmt.Sprintf("%s-%d", kind, i), kind, run)
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	open.Wait()
+}
+
+// callLoad makes interactive calls until done.
+func callLoad(c *cluster.Cluster, all []*cluster.Host, done *atomic.Bool) {
+	kinds := []string{cluster.Lookup, cluster.BilledLookup}
+	var callers conc.WaitGroup
+	for k := range hosts {
+		callers.Go(func() {
+			for n := 0; !done.Load(); n++ {
+				c.Call(all[k:k+1], fmt.Sprintf("call-%d-%d", k, n), kinds[n%2], 30*time.Millisecond, 0)
+				time.Sleep(30 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+}
--- /dev/null
+++ b/integration/stop_test.go
@@ -0,0 +1,119 @@
+package integration
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"banyanrun.example/banyanrun/integration/cluster"
+)
+
+// hostList is the list of hosts that callers use while hosts are replaced.
+type hostList struct {
+	mu    sync.Mutex
+	hosts []*cluster.Host
+}
+
+func (l *hostList) get() []*cluster.Host {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]*cluster.Host{}, l.hosts...)
+}
+
+func (l *hostList) set(hosts []*cluster.Host) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hosts = append([]*cluster.Host{}, hosts...)
+}
+
+// Guards against requests that fail while all hosts are replaced one by one.
+// Callers ask another host only when a connection was refused.
+func TestRollingReplacementFailsNoRequest(t *testing.T) {
+	c := start(t, 201, 1, 3)
+	c.Owner("a")
+	var list hostList
+	list.set(c.Hosts)
+	var done atomic.Bool
+	var load conc.WaitGroup
+	load.Go(func() {
+		more := func() bool { return !done.Load() }
+		for _, o := range serveWhile(c, list.get, more) {
+			if !o.Answered {
+				t.Errorf("call %s failed: %v", o.ID, o.Err)
+			}
+		}
+	})
+	load.Go(func() {
+		kinds := []string{cluster.Batch, cluster.Billed}
+		for n := 0; !done.Load(); n++ {
+			id := fmt.Sprintf("rolling-%d", n)
+			if err := c.Submit(list.get(), id, kinds[n%2], 500*time.Millisecond); err != nil {
+				t.Errorf("submit failed: %v", err)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	for _, old := range append([]*cluster.Host{}, c.Hosts...) {
+		next := c.AddHost(old.DataCentre)
+		c.Until("the new host is ready", next.Ready)
+		old.Leave()
+		old.Stop()
+		old.Remove()
+		list.set(c.Hosts)
+	}
+	done.Store(true)
+	load.Wait()
+	c.Settle()
+}
+
+// Guards against a planned stop that cuts calls, submits or waits in progress.
+func TestPlannedStopCutsNoRequestInProgress(t *testing.T) {
+	t.Parallel()
+	for _, which := range []string{"the owner", "another host"} {
+		t.Run("SIGTERM to "+which, func(t *testing.T) {
+			c := start(t, 202, 1, 2)
+			stopped := c.Owner("a")
+			if which != "the owner" {
+				stopped = other(c, stopped)
+			}
+			only := []*cluster.Host{stopped}
+			c.MustSubmit(only, "long", cluster.Billed, 6*time.Second)
+			c.Until("the job runs", func() bool { return c.Started("long") })
+			var open conc.WaitGroup
+			for i := range 6 {
+				open.Go(func() {
+					kind := []string{cluster.Lookup, cluster.BilledLookup}[i%2]
+					// The progress limit of these kinds is 1 s.
+					o := c.Call(only, fmt.Sprintf("open-%d", i), kind, 900*time.Millisecond, 0)
+					if !o.Answered {
+						t.Errorf("call in progress at the stop failed: %v", o.Err)
+					}
+				})
+			}
+			open.Go(func() {
+				status, body, err := c.Wait(stopped, "long")
+				if err != nil || status != 200 {
+					t.Errorf("wait in progress at the stop: status %d, error %v, body %s", status, err, body)
+				}
+			})
+			c.Until("the calls run", func() bool { return c.Started("open-0") && c.Started("open-5") })
+			stopped.Stop()
+			open.Wait()
+			c.Settle()
+		})
+	}
+}
+
+// other returns a host that is not h.
+func other(c *cluster.Cluster, h *cluster.Host) *cluster.Host {
+	for _, o := range c.Hosts {
+		if o != h {
+			return o
+		}
+	}
+	return nil
+}
