--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 
 clean: ## remove build results
 	rm -rf $(BIN) out
+
+DURATION := 3m
+
+soak: ## play random pairs of faults for DURATION and check the accounts
+	go run ./integration/soak --duration $(DURATION)
