--- a/demo/accounts_test.go
+++ b/demo/accounts_test.go
@@ -24,17 +24,18 @@
 	}}
 }
 
-// Guards against accounts that call work complete although it was lost, ran
-// twice, or ran after its caller was told that it had not.
-func TestAccounts(t *testing.T) {
+// accountsCase is a run with its sum and exit code.
+type accountsCase struct {
+	name   string
+	events []EventBody
+	want   string
+	code   int
+}
+
+func accountsCases() []accountsCase {
 	completed := Finished{Work: job, Outcome: Completed, Verdict: core.Ran}
 	ran := entry(job, 0, 1, worker.OutcomeSucceeded, 1, 2)
-	for _, c := range []struct {
-		name   string
-		events []EventBody
-		want   string
-		code   int
-	}{
+	return []accountsCase{
 		{"a job that completed once", []EventBody{Accepted{job}, completed, ran},
 			"accepted=1 completed=1 refused_not_run=0 cancelled=0 failed=0 lost=0 doubled=0", 0},
 		{"a job that completed and one that was refused before it was accepted", []EventBody{
@@ -71,7 +72,13 @@
 			Finished{Work: call, Outcome: Refused, Verdict: core.NotRun}},
 			"accepted=1 completed=1 refused_not_run=1 cancelled=0 failed=0 lost=0 doubled=0", 0},
 		{"nothing at all", nil, "accepted=0 completed=0 refused_not_run=0 cancelled=0 failed=0 lost=0 doubled=0", 1},
-	} {
+	}
+}
+
+// Guards against accounts that call work complete although it was lost, ran
+// twice, or ran after its caller was told that it had not.
+func TestAccounts(t *testing.T) {
+	for _, c := range accountsCases() {
 		t.Run(c.name, func(t *testing.T) {
 			a := NewAccounts()
 			a.Step(Event{Body: Declared{Team: "team", Kind: "fit", Tasks: 1}})
--- a/entry/badinput_test.go
+++ b/entry/badinput_test.go
@@ -65,12 +65,12 @@
 	t.Cleanup(func() { stop(); running.Wait() })
 	h := &host{t: t, address: daemon.Address(), standin: server}
 	for range polls {
-		if resp, _ := h.do(request{path: "/readyz"}); resp.StatusCode == http.StatusOK {
+		if resp, _ := h.do(httpRequest{path: "/readyz"}); resp.StatusCode == http.StatusOK {
 			break
 		}
 		time.Sleep(pollPause)
 	}
-	resp, body := h.do(request{
+	resp, body := h.do(httpRequest{
 		method: http.MethodPut, path: "/v1/documents/team", body: teamDocument(1),
 		header: map[string]string{wire.HeaderIfMatch: "0"},
 	})
@@ -92,14 +92,14 @@
 			 "request": {"cpus": 1, "memory_mb": 64, "slots": 1, "connections": 1}}]}`, cpus)
 }
 
-// request is one request of a test. An empty method is GET.
-type request struct {
+// httpRequest is one request of a test. An empty method is GET.
+type httpRequest struct {
 	method, path, body string
 	header             map[string]string
 }
 
 // do sends a request and reads the whole answer.
-func (h *host) do(r request) (*http.Response, []byte) {
+func (h *host) do(r httpRequest) (*http.Response, []byte) {
 	h.t.Helper()
 	req, err := http.NewRequest(r.method, "http://"+h.address+r.path, strings.NewReader(r.body))
 	if err != nil {
@@ -148,19 +148,19 @@
 // wantAlive checks that the reducer still answers.
 func (h *host) wantAlive() {
 	h.t.Helper()
-	if resp, body := h.do(request{path: "/v1/teams"}); resp.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(`"team"`)) {
+	if resp, body := h.do(httpRequest{path: "/v1/teams"}); resp.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(`"team"`)) {
 		h.t.Fatalf("daemon does not answer any more: %d %s", resp.StatusCode, body)
 	}
 }
 
 // submit is a submit with a body.
-func submit(body string) request {
-	return request{method: http.MethodPost, path: "/v1/jobs", body: body}
+func submit(body string) httpRequest {
+	return httpRequest{method: http.MethodPost, path: "/v1/jobs", body: body}
 }
 
 // put is an edit with a base revision.
-func put(path, body, base string) request {
-	return request{method: http.MethodPut, path: path, body: body, header: map[string]string{wire.HeaderIfMatch: base}}
+func put(path, body, base string) httpRequest {
+	return httpRequest{method: http.MethodPut, path: path, body: body, header: map[string]string{wire.HeaderIfMatch: base}}
 }
 
 // jobWith is a valid job with a payload of the given number of encoded bytes.
@@ -182,13 +182,13 @@
 			h.wantAlive()
 		})
 	}
-	resp, body := h.do(request{path: "/v1/documents/team"})
+	resp, body := h.do(httpRequest{path: "/v1/documents/team"})
 	var version wire.DocumentVersion
 	if err := json.Unmarshal(body, &version); err != nil || resp.StatusCode != http.StatusOK ||
 		!bytes.Contains(version.Document, []byte(`"milli_cpu":1000`)) {
 		t.Errorf("document in force is %d %s, %v; want the first", resp.StatusCode, body, err)
 	}
-	resp, body = h.do(request{path: "/v1/jobs/taken/wait"})
+	resp, body = h.do(httpRequest{path: "/v1/jobs/taken/wait"})
 	if resp.StatusCode != http.StatusOK || !bytes.Contains(body, []byte(`"succeeded"`)) {
 		t.Errorf("the accepted job ended as %d %s, want success", resp.StatusCode, body)
 	}
@@ -197,13 +197,15 @@
 // badCase is a request that must be refused as not run.
 type badCase struct {
 	name    string
-	request request
+	request httpRequest
 	status  int
 	reason  core.Reason
 }
 
 func badInput() []badCase {
-	post := func(path, body string) request { return request{method: http.MethodPost, path: path, body: body} }
+	post := func(path, body string) httpRequest {
+		return httpRequest{method: http.MethodPost, path: path, body: body}
+	}
 	many := strings.Repeat(`{"id": "a", "team": "team", "kind": "batch"},`, 1000) + `{"id": "b", "team": "team", "kind": "batch"}`
 	return []badCase{
 		{"a job whose body is too long", submit(jobWith("a", 128<<10)), 413, core.ReasonTooLarge},
@@ -231,23 +233,23 @@
 		{"an interactive kind as a job", submit(`{"id": "a", "team": "team", "kind": "lookup"}`), 400, core.ReasonInvalid},
 		{"a batch with too many jobs", post("/v1/jobs/batch", `{"jobs": [`+many+`]}`), 400, core.ReasonInvalid},
 		{"a batch without jobs", post("/v1/jobs/batch", `{"jobs": []}`), 400, core.ReasonInvalid},
-		{"the status of an unknown job", request{path: "/v1/jobs/none"}, 404, core.ReasonUnknownJob},
-		{"a cancellation of an unknown job", request{method: http.MethodDelete, path: "/v1/jobs/none"}, 404, core.ReasonUnknownJob},
-		{"a wait that is too long", request{path: "/v1/jobs/taken/wait?timeout_ms=600001"}, 400, core.ReasonInvalid},
-		{"a wait that is not a number", request{path: "/v1/jobs/taken/wait?timeout_ms=1s"}, 400, core.ReasonInvalid},
-		{"an id with a slash in the path", request{path: "/v1/jobs/taken%2Fagain"}, 404, core.ReasonUnknownPath},
-		{"a path that does not exist", request{path: "/v2/jobs"}, 404, core.ReasonUnknownPath},
-		{"a method that the path does not have", request{method: http.MethodPut, path: "/v1/jobs"}, 405, core.ReasonUnknownMethod},
+		{"the status of an unknown job", httpRequest{path: "/v1/jobs/none"}, 404, core.ReasonUnknownJob},
+		{"a cancellation of an unknown job", httpRequest{method: http.MethodDelete, path: "/v1/jobs/none"}, 404, core.ReasonUnknownJob},
+		{"a wait that is too long", httpRequest{path: "/v1/jobs/taken/wait?timeout_ms=600001"}, 400, core.ReasonInvalid},
+		{"a wait that is not a number", httpRequest{path: "/v1/jobs/taken/wait?timeout_ms=1s"}, 400, core.ReasonInvalid},
+		{"an id with a slash in the path", httpRequest{path: "/v1/jobs/taken%2Fagain"}, 404, core.ReasonUnknownPath},
+		{"a path that does not exist", httpRequest{path: "/v2/jobs"}, 404, core.ReasonUnknownPath},
+		{"a method that the path does not have", httpRequest{method: http.MethodPut, path: "/v1/jobs"}, 405, core.ReasonUnknownMethod},
 		{"a call of an unknown kind", post("/v1/call/team/none", ""), 404, core.ReasonUnknownKind},
 		{"a call of a kind that is not interactive", post("/v1/call/team/batch", ""), 404, core.ReasonUnknownKind},
-		{"a call with a bad request id", request{method: http.MethodPost, path: "/v1/call/team/lookup",
+		{"a call with a bad request id", httpRequest{method: http.MethodPost, path: "/v1/call/team/lookup",
 			header: map[string]string{wire.HeaderRequestID: "a b"}}, 400, core.ReasonInvalid},
 		{"a negative size in a document", put("/v1/documents/team", teamDocument(-1), "1"), 400, core.ReasonInvalid},
 		{"a document of another team", put("/v1/documents/other", teamDocument(2), "0"), 400, core.ReasonInvalid},
 		{"an edit without its base", put("/v1/documents/team", teamDocument(2), ""), 400, core.ReasonInvalid},
 		{"an edit of a version that is not in force", put("/v1/documents/team", teamDocument(2), "0"), 409, core.ReasonConflict},
-		{"the document of an unknown team", request{path: "/v1/documents/nobody"}, 404, core.ReasonUnknownTeam},
-		{"too many bytes of headers", request{path: "/v1/teams", header: map[string]string{"X-Long": strings.Repeat("x", 16<<10)}},
+		{"the document of an unknown team", httpRequest{path: "/v1/documents/nobody"}, 404, core.ReasonUnknownTeam},
+		{"too many bytes of headers", httpRequest{path: "/v1/teams", header: map[string]string{"X-Long": strings.Repeat("x", 16<<10)}},
 			413, core.ReasonTooLarge},
 	}
 }
@@ -261,7 +263,7 @@
 		if resp.StatusCode != http.StatusAccepted || !strings.Contains(string(body), want) {
 			t.Fatalf("submit %d: answer is %d %s, want %s", i+1, resp.StatusCode, body, want)
 		}
-		if resp, body := h.do(request{path: "/v1/jobs/once/wait"}); !bytes.Contains(body, []byte(`"succeeded"`)) {
+		if resp, body := h.do(httpRequest{path: "/v1/jobs/once/wait"}); !bytes.Contains(body, []byte(`"succeeded"`)) {
 			t.Fatalf("wait: %d %s", resp.StatusCode, body)
 		}
 	}
@@ -310,13 +312,13 @@
 	for range maxRequests - 1 {
 		h.hold(len(job))
 	}
-	resp, body := h.do(request{path: "/v1/teams"})
+	resp, body := h.do(httpRequest{path: "/v1/teams"})
 	wantRefusal(t, resp, body, http.StatusTooManyRequests, core.ReasonQueueFull)
 	if resp.Header.Get("Retry-After") == "" {
 		t.Error("refusal has no Retry-After")
 	}
 	for _, path := range []string{"/healthz", "/readyz", "/metrics"} {
-		if resp, _ := h.do(request{path: path}); resp.StatusCode != http.StatusOK {
+		if resp, _ := h.do(httpRequest{path: path}); resp.StatusCode != http.StatusOK {
 			t.Errorf("%s answers %d at the limit, want 200", path, resp.StatusCode)
 		}
 	}
