Do not use an attempt number again that a worker has in its ledger

Change: a task remembers the highest attempt in any ledger and goes on above it, and a restored task takes over the result that it finds. Replicas begin above anything that an earlier replica of their name has used.

--- a/core/job.go
+++ b/core/job.go
@@ -90,6 +90,8 @@
 type task struct {
 	index   int
 	attempt int
+	// highest is the highest attempt that was seen in a worker's ledger.
+	highest int
 	state   taskState
 	worker  WorkerID
 	// incarnation is that of the worker when the task was assigned.
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -143,6 +143,7 @@
 
 // onTaskReport applies what a worker says about one task.
 func (r *Reducer) onTaskReport(w *worker, rep *TaskReport) {
+	r.noteAttempt(rep.Task)
 	j, t := r.findTask(rep.Task)
 	if t == nil || t.state == taskDone || (t.holdsCapacity() && t.worker != w.id) {
 		r.onOrphanReport(w, rep)
@@ -174,11 +175,11 @@
 // room counts as assigned; an owner stops it. A standby has no journal and lets
 // it run.
 func (r *Reducer) onOrphanReport(w *worker, rep *TaskReport) {
-	if rep.State != ReportedRunning {
-		r.fleet.removeOrphan(w, rep.Task)
+	if r.adoptFromReport(w, rep) {
 		return
 	}
-	if r.adoptFromReport(w, rep) {
+	if rep.State != ReportedRunning {
+		r.fleet.removeOrphan(w, rep.Task)
 		return
 	}
 	r.fleet.addOrphan(w, rep.Task, rep.Requested)
@@ -189,8 +190,21 @@
 	}
 }
 
-// adoptFromReport raises the attempt of a restored task to the one that is
-// found running. An owner that died may have used attempts that are in no record.
+// noteAttempt remembers the highest attempt of a task that any worker has in its
+// ledger. A worker starts an attempt only once, so the next one must be higher,
+// also if it was an earlier owner that used the number.
+func (r *Reducer) noteAttempt(ref TaskRef) {
+	j := r.jobs.get(ref.Job)
+	if j == nil || ref.Task < 0 || ref.Task >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[ref.Task]
+	t.highest = max(t.highest, ref.Attempt)
+}
+
+// adoptFromReport raises the attempt of a restored task to the one that a worker
+// has in its ledger. An owner that died may have used attempts that are in no
+// record.
 func (r *Reducer) adoptFromReport(w *worker, rep *TaskReport) bool {
 	j := r.jobs.get(rep.Task.Job)
 	if j == nil || j.state != JobSettling || rep.Task.Task >= len(j.tasks) {
@@ -201,9 +215,24 @@
 		return false
 	}
 	t.attempt = rep.Task.Attempt
-	t.state = taskStarting
-	r.fleet.assign(w, j, t, rep.Requested)
-	r.taskStarted(j, t)
+	j.began = true
+	switch rep.State {
+	case ReportedRunning:
+		t.state = taskStarting
+		r.fleet.assign(w, j, t, rep.Requested)
+		r.taskStarted(j, t)
+	case ReportedSucceeded:
+		t.state = taskDone
+		j.result = rep.Result
+		r.endIfComplete(j)
+	case ReportedFailed:
+		t.failedOn = append(t.failedOn, w.id)
+		j.failures++
+	default:
+		if rep.Checkpoint != "" {
+			t.checkpoint = rep.Checkpoint
+		}
+	}
 	return true
 }
 
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -118,7 +118,7 @@
 		if t.attempt == 0 {
 			r.retries.earn(queueKey{j.spec.Team, j.spec.Kind})
 		}
-		t.attempt++
+		t.attempt = max(t.attempt, t.highest) + 1
 		t.throttled, t.stopping = false, false
 		if !j.kind.Idempotent && j.service == "" {
 			r.appendRecord(r.assignedRecord(j, t))
--- a/core/service.go
+++ b/core/service.go
@@ -102,6 +102,8 @@
 	j := r.newJob(spec, kind)
 	j.tasks = j.tasks[:1]
 	j.service = key.service
+	// A worker may know attempts of an earlier replica of the same name.
+	j.tasks[0].highest = int(r.now / Time(time.Millisecond))
 	r.jobs.add(j)
 	j.state = JobSettling
 	if r.fleet.allSettled() {
