Keep grants on a restarted worker assigned until the hosts return them

Change: grants stay on a restarted worker. On a lost one they are withdrawn and count as assigned until the hosts have confirmed.

--- a/core/grants.go
+++ b/core/grants.go
@@ -364,13 +364,13 @@
 	)
 }
 
-// forgetWorker drops the grants on a lost worker.
-func (g *grantTable) forgetWorker(r *Reducer, w *worker) {
+// withdrawFrom ends the grants on a worker that is lost. What they hold returns
+// when the hosts confirm that they no longer use them.
+func (g *grantTable) withdrawFrom(r *Reducer, w *worker) {
 	for _, h := range g.hosts {
 		for _, e := range h.entries {
 			if e.worker == w.id {
 				r.setTarget(h, e, 0)
-				r.setHeld(e, 0)
 			}
 		}
 	}
--- a/core/sync.go
+++ b/core/sync.go
@@ -196,7 +196,9 @@
 		delete(w.orphans, ref)
 		r.fleet.hold(w, need.Times(-1))
 	}
-	r.grants.forgetWorker(r, w)
+	if silent {
+		r.grants.withdrawFrom(r, w)
+	}
 }
 
 // taskLost ends an attempt of which nobody can tell whether it ran to its end.
