Name a standby as soon as a peer is heard

Cause: an owner that heard no peer at its first try waited 5 s for the next; if the store went down in that time, nobody could take over. Change: only a try with a candidate starts the wait.

--- a/core/ownership.go
+++ b/core/ownership.go
@@ -306,12 +306,12 @@
 	if o.role != roleOwner || r.now < o.nextStandby || !r.leaseValid() || r.isLivePeer(o.standby) {
 		return
 	}
-	o.nextStandby = r.now.Add(standbyCheck)
 	next := o.record
 	next.Standby, next.StandbyEpoch = r.chooseStandby(), o.record.StandbyEpoch+1
 	if next.Standby == "" || next.StandbyEpoch >= o.epoch+epochStep {
 		return
 	}
+	o.nextStandby = r.now.Add(standbyCheck)
 	o.update = next
 	r.emit(PutValue{
 		Op: r.op(PurposeOwnerUpdate, r.cellKey("owner")), Key: r.cellKey("owner"),
