--- a/virtual/account.go
+++ b/virtual/account.go
@@ -176,16 +176,22 @@
 	return a
 }
 
-// idempotent reports whether a kind is idempotent by the first documents.
-func (c *Cluster) idempotent(team core.TeamName, kind core.KindName) bool {
+// kind returns a kind by the first documents, or nil.
+func (c *Cluster) kind(team core.TeamName, name core.KindName) *core.Kind {
 	for i := range c.cfg.Documents {
 		if d := &c.cfg.Documents[i]; d.Team == team {
-			if k, ok := d.Kind(kind); ok {
-				return k.Idempotent
+			if k, ok := d.Kind(name); ok {
+				return k
 			}
 		}
 	}
-	return true
+	return nil
+}
+
+// idempotent reports whether a kind is idempotent.
+func (c *Cluster) idempotent(team core.TeamName, kind core.KindName) bool {
+	k := c.kind(team, kind)
+	return k == nil || k.Idempotent
 }
 
 // lostEdits lists the accepted edits that the store does not hold.
--- /dev/null
+++ b/virtual/faults_test.go
@@ -0,0 +1,313 @@
+package virtual
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+// mixedLoad submits jobs of every kind, some long, some that fill the queues,
+// and begins calls. Together they are in every state a moment later.
+func mixedLoad(c *Cluster, host core.HostID) {
+	for _, kind := range []core.KindName{"batch", "billed", "gang"} {
+		submit(c, host, kind, 6, 12000)
+		submit(c, host, kind, 6, 1000)
+	}
+	c.RunFor(3 * time.Second)
+	for _, kind := range []core.KindName{"batch", "billed", "gang"} {
+		submit(c, host, kind, 4, 2000)
+	}
+	for i := range 20 {
+		c.Call(Call{ID: fmt.Sprintf("call-%d", i), Team: "red", Kind: "lookup", Host: host, Program: worker.Program{RunMS: 200}})
+	}
+	c.RunFor(5 * time.Millisecond)
+}
+
+// other returns a host that is not id.
+func (c *Cluster) other(id core.HostID) core.HostID {
+	for _, h := range c.hostList {
+		if h.id != id && h.alive {
+			return h.id
+		}
+	}
+	return ""
+}
+
+// everything lists the parties apart from a host and the callers.
+func (c *Cluster) everything(but core.HostID) []Party {
+	out := []Party{Store}
+	for _, h := range c.hostList {
+		if h.id != but {
+			out = append(out, Party(h.id))
+		}
+	}
+	for _, w := range c.workerList {
+		out = append(out, Party(w.id))
+	}
+	return out
+}
+
+// loseAnswer loses the next answers of one purpose during a takeover.
+func loseAnswer(p core.Purpose) func(*Cluster, core.HostID) {
+	return func(c *Cluster, owner core.HostID) {
+		c.LoseStoreAnswers(p, 2)
+		c.KillHost(owner)
+		c.RunFor(30 * time.Second)
+		c.RestartHost(owner)
+	}
+}
+
+// killAt kills the host that takes over at its first effect for which match
+// holds, and its successor at the same one.
+func killAt(match func(core.Effect) bool) func(*Cluster, core.HostID) {
+	return func(c *Cluster, owner core.HostID) {
+		c.KillHost(owner)
+		for _, h := range c.hostList {
+			if h.alive {
+				c.PauseHostAt(h.id, time.Hour, match)
+			}
+		}
+		c.RunFor(40 * time.Second)
+		for _, h := range c.hostList {
+			c.RestartHost(h.id)
+		}
+	}
+}
+
+func isPut(p core.Purpose) func(core.Effect) bool {
+	return func(f core.Effect) bool {
+		put, ok := f.(core.PutValue)
+		return ok && put.Op.Purpose == p
+	}
+}
+
+func isA[E core.Effect](f core.Effect) bool {
+	_, ok := f.(E)
+	return ok
+}
+
+// faultCases are faults that come while jobs are in every state.
+var faultCases = []struct {
+	name   string
+	inject func(c *Cluster, owner core.HostID)
+}{
+	{"the owner is killed with jobs in every state", func(c *Cluster, owner core.HostID) {
+		c.KillHost(owner)
+	}},
+	{"the owner is killed and restarted at once", func(c *Cluster, owner core.HostID) {
+		c.RestartHost(owner)
+	}},
+	{"every host is killed and replaced", func(c *Cluster, _ core.HostID) {
+		for _, h := range c.hostList {
+			c.RestartHost(h.id)
+		}
+	}},
+	{"the owner pauses past its lease with a start decided and not sent", func(c *Cluster, owner core.HostID) {
+		c.PauseHostAt(owner, 20*time.Second, isA[core.StartTask])
+		submit(c, owner, "billed", 3, 1000)
+		submit(c, owner, "batch", 3, 1000)
+	}},
+	{"the owner pauses past its lease with a journal write decided and not sent", func(c *Cluster, owner core.HostID) {
+		c.PauseHostAt(owner, 20*time.Second, isPut(core.PurposeJournalWrite))
+		submit(c, owner, "billed", 3, 1000)
+	}},
+	{"the store refuses for longer than every lease", func(c *Cluster, _ core.HostID) {
+		c.SetOutage(store.OutageRefuse)
+		c.RunFor(50 * time.Second)
+		c.SetOutage(store.OutageNone)
+	}},
+	{"the store hangs for longer than every lease", func(c *Cluster, _ core.HostID) {
+		c.SetOutage(store.OutageHang)
+		c.RunFor(50 * time.Second)
+		c.SetOutage(store.OutageNone)
+	}},
+	{"answers to journal writes are lost", func(c *Cluster, owner core.HostID) {
+		c.LoseStoreAnswers(core.PurposeJournalWrite, 5)
+		submit(c, owner, "billed", 5, 1000)
+	}},
+	{"answers to journal writes are lost and then the owner dies", func(c *Cluster, owner core.HostID) {
+		c.LoseStoreAnswers(core.PurposeJournalWrite, 5)
+		submit(c, owner, "billed", 5, 1000)
+		c.RunFor(8 * time.Millisecond)
+		c.KillHost(owner)
+	}},
+	{"the answer to the swap of the owner record is lost", loseAnswer(core.PurposeOwnerSwap)},
+	{"the answer to the creation of the lease key is lost", loseAnswer(core.PurposeLeaseKey)},
+	{"the answer to the grant of a lease is lost", loseAnswer(core.PurposeLeaseGrant)},
+	{"the answer to the opening of the journal is lost", loseAnswer(core.PurposeJournalOpen)},
+	{"the answer to the read of the journal is lost", loseAnswer(core.PurposeJournalLoad)},
+	{"the host that takes over stops before it creates the lease key", killAt(isPut(core.PurposeLeaseKey))},
+	{"the host that takes over stops before it swaps the owner record", killAt(isPut(core.PurposeOwnerSwap))},
+	{"the host that takes over stops before it reads the journal", killAt(func(f core.Effect) bool {
+		list, ok := f.(core.ListValues)
+		return ok && list.Op.Purpose == core.PurposeJournalLoad
+	})},
+	{"the host that takes over stops before it opens the journal", killAt(isPut(core.PurposeJournalOpen))},
+	{"the host that takes over stops before it fences the workers", killAt(isA[core.SyncWorker])},
+	{"the host that takes over stops before its first start", killAt(isA[core.StartTask])},
+	{"the owner is cut off from everything and returns", func(c *Cluster, owner core.HostID) {
+		c.Cut([]Party{Party(owner)}, c.everything(owner), true)
+		c.RunFor(40 * time.Second)
+		c.Cut([]Party{Party(owner)}, c.everything(owner), false)
+	}},
+	{"the owner is cut off from the store and from its peers but not from the workers", func(c *Cluster, owner core.HostID) {
+		rest := []Party{Store}
+		for _, h := range c.hostList {
+			rest = append(rest, Party(h.id))
+		}
+		c.Cut([]Party{Party(owner)}, rest, true)
+		c.RunFor(40 * time.Second)
+		c.Cut([]Party{Party(owner)}, rest, false)
+	}},
+	{"two owners believe in themselves, each with its own half of the workers", func(c *Cluster, owner core.HostID) {
+		half := []Party{Party(c.workerList[0].id), Party(c.workerList[1].id)}
+		c.Cut([]Party{Party(owner)}, append([]Party{Store}, half...), true)
+		for _, h := range c.hostList {
+			if h.id != owner {
+				c.Cut([]Party{Party(h.id)}, []Party{Party(owner), Party(c.workerList[2].id), Party(c.workerList[3].id)}, true)
+			}
+		}
+		submit(c, owner, "batch", 4, 1000)
+		submit(c, c.other(owner), "batch", 4, 1000)
+		c.RunFor(40 * time.Second)
+		for l := range c.links {
+			c.Drop(l.from, l.to, false)
+		}
+	}},
+	{"a worker is silent and comes back before its leases end", func(c *Cluster, _ core.HostID) {
+		c.SilenceWorker("a-w1", true)
+		c.RunFor(15 * time.Second)
+		c.SilenceWorker("a-w1", false)
+	}},
+	{"a worker is silent and comes back after it was given up", func(c *Cluster, _ core.HostID) {
+		c.SilenceWorker("a-w1", true)
+		c.RunFor(60 * time.Second)
+		c.SilenceWorker("a-w1", false)
+	}},
+	{"the answers to starts are lost", func(c *Cluster, owner core.HostID) {
+		for _, w := range c.workerList {
+			c.DropNext(Party(w.id), Party(owner), 3)
+		}
+		submit(c, owner, "billed", 4, 1000)
+		submit(c, owner, "batch", 4, 1000)
+	}},
+	{"every worker restarts", func(c *Cluster, _ core.HostID) {
+		for _, w := range c.workerList {
+			c.RestartWorker(w.id)
+		}
+	}},
+	{"the owner and a worker die together", func(c *Cluster, owner core.HostID) {
+		c.KillHost(owner)
+		c.KillWorker("a-w1")
+		c.RunFor(30 * time.Second)
+		c.RestartWorker("a-w1")
+	}},
+	{"the owner dies while the store is down and the standby takes over", func(c *Cluster, owner core.HostID) {
+		c.SetOutage(store.OutageRefuse)
+		c.RunFor(5 * time.Second)
+		c.KillHost(owner)
+		c.RunFor(40 * time.Second)
+		if c.Owner("a") == "" {
+			panic("no standby took over")
+		}
+		c.SetOutage(store.OutageNone)
+	}},
+	{"the owner pauses while the store is down and the standby takes over", func(c *Cluster, owner core.HostID) {
+		c.SetOutage(store.OutageHang)
+		c.PauseHost(owner)
+		c.RunFor(30 * time.Second)
+		c.ResumeHost(owner)
+		c.RunFor(10 * time.Second)
+		c.SetOutage(store.OutageNone)
+	}},
+	{"the owner drains under load", func(c *Cluster, owner core.HostID) {
+		c.LeaveHost(owner, false)
+		c.Drain(owner)
+		c.RunFor(15 * time.Second)
+		c.KillHost(owner)
+		c.LeaveHost(owner, true)
+	}},
+	{"the owner drains while the store is down", func(c *Cluster, owner core.HostID) {
+		c.SetOutage(store.OutageRefuse)
+		c.Drain(owner)
+		c.RunFor(20 * time.Second)
+		c.SetOutage(store.OutageNone)
+	}},
+	{"a worker leaves under load", func(c *Cluster, _ core.HostID) {
+		c.LeaveWorker("a-w1", false)
+	}},
+}
+
+// Guards against each fault violating a guarantee or leaving a job without an
+// outcome.
+func TestEachFaultKeepsTheGuarantees(t *testing.T) {
+	for _, tc := range faultCases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(4) {
+				c := testCluster(seed)
+				owner := settle(t, c)
+				mixedLoad(c, owner)
+				traceTo(c)
+				tc.inject(c, owner)
+				c.RunFor(4 * time.Minute)
+				dump(c)
+				check(t, c)
+				if c.Owner("a") == "" {
+					t.Error("no host owns the data centre after the fault")
+				}
+			}
+		})
+	}
+}
+
+// Guards against an edit that is lost or reverted when two operators work on the
+// same document.
+func TestOfTwoConcurrentEditsOneIsRefused(t *testing.T) {
+	c := testCluster(1)
+	settle(t, c)
+	base := c.hostList[0].inForce["red"]
+	var edits []*Edit
+	for i, h := range c.hostList {
+		d := testDocument("red")
+		d.Weight = int64(10 + i)
+		edits = append(edits, c.Edit(Edit{Document: d, Base: base, Author: string(h.id), Host: h.id}))
+	}
+	c.RunFor(4 * time.Second)
+	applied := 0
+	for _, e := range edits {
+		switch {
+		case e.Applied != nil:
+			applied++
+		case e.Conflict == nil:
+			t.Errorf("edit of %s: neither applied nor shown the conflict: %v", e.Author, e.Refusal)
+		}
+	}
+	if applied != 1 {
+		t.Errorf("%d edits of one base were applied, want 1", applied)
+	}
+	for _, h := range c.hostList {
+		if h.inForce["red"] <= base {
+			t.Errorf("host %s still has revision %d in force", h.id, h.inForce["red"])
+		}
+	}
+	check(t, c)
+}
+
+// Guards against an edit that took effect and is reported as failed because the
+// answer to its write was lost.
+func TestEditWithLostAnswerIsReadBack(t *testing.T) {
+	c := testCluster(1)
+	owner := settle(t, c)
+	c.LoseStoreAnswers(core.PurposeDocumentWrite, 1)
+	e := c.Edit(Edit{Document: testDocument("red"), Base: c.hosts[owner].inForce["red"], Author: "op", Host: owner})
+	c.RunFor(5 * time.Second)
+	if e.Applied == nil {
+		t.Errorf("edit was not reported as applied: %+v", e)
+	}
+	check(t, c)
+}
--- a/virtual/host.go
+++ b/virtual/host.go
@@ -298,12 +298,15 @@
 
 // view returns the host's row of the operators' view of hosts.
 func (h *host) view() core.HostView {
-	for _, f := range h.reducer.Step(core.Event{At: h.c.now, Body: core.ViewRequested{View: core.ViewHosts}}) {
-		if r, ok := f.(core.Reply); ok {
+	var row core.HostView
+	effects := h.reducer.Step(core.Event{At: h.c.now, Body: core.ViewRequested{View: core.ViewHosts}})
+	for _, f := range effects {
+		if r, ok := f.(core.Reply); ok && r.Request == 0 {
 			if rows, ok := r.View.([]core.HostView); ok {
-				return rows[0]
+				row = rows[0]
 			}
 		}
 	}
-	return core.HostView{}
+	h.execute(effects)
+	return row
 }
--- a/virtual/traffic.go
+++ b/virtual/traffic.go
@@ -6,6 +6,7 @@
 
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
 )
 
 const (
@@ -53,6 +54,9 @@
 func (c *Cluster) Call(call Call) *Call {
 	out := &call
 	out.Began = c.now
+	if kind := c.kind(out.Team, out.Kind); kind != nil {
+		out.Program.Request = wire.FromResources(kind.Request)
+	}
 	c.calls = append(c.calls, out)
 	h := c.hosts[out.Host]
 	c.ask(Callers, Party(out.Host), 2*requestWait, func(id uint64) {
--- a/virtual/upstream.go
+++ b/virtual/upstream.go
@@ -65,10 +65,15 @@
 // if there is one, and the body otherwise.
 func (c *Cluster) askWorker(h *host, to core.WorkerID, extra time.Duration, body func(id worker.RequestID) worker.EventBody, done func(body any, failed *workerError)) {
 	timeout := workerTimeout + extra
+	delivered := false
 	c.ask(Party(h.id), Party(to), timeout, func(id uint64) {
-		if w := c.workers[to]; w != nil {
-			c.stepWorker(w, body(worker.RequestID(id)))
+		event := body(worker.RequestID(id))
+		// A call is one exchange on one connection, which nothing repeats.
+		_, isCall := event.(worker.CallAsked)
+		if w := c.workers[to]; w != nil && !(isCall && delivered) {
+			c.stepWorker(w, event)
 		}
+		delivered = true
 	}, func(body any, f failure) {
 		switch f {
 		case notWritten:
--- a/virtual/virtual_test.go
+++ b/virtual/virtual_test.go
@@ -21,11 +21,11 @@
 		Quota: core.Resources{MilliCPU: 64000, MemoryMB: 256000, Slots: 32, Connections: 256},
 		Kinds: []core.Kind{
 			{Name: "batch", Urgency: core.Normal, Idempotent: true, Request: request,
-				RunTime: 5 * time.Second, Deadline: 3 * time.Minute, MaxAttempts: 5, QueueLimit: 500},
+				RunTime: 5 * time.Second, Deadline: time.Minute, MaxAttempts: 5, QueueLimit: 500},
 			{Name: "billed", Urgency: core.Urgent, Request: request,
-				RunTime: 5 * time.Second, Deadline: 3 * time.Minute, MaxAttempts: 5, QueueLimit: 500},
+				RunTime: 5 * time.Second, Deadline: time.Minute, MaxAttempts: 5, QueueLimit: 500},
 			{Name: "gang", Urgency: core.Normal, Idempotent: true, Request: request, GangSize: 3,
-				RestartGang: true, RunTime: 5 * time.Second, Deadline: 3 * time.Minute, MaxAttempts: 5, QueueLimit: 500},
+				RestartGang: true, RunTime: 5 * time.Second, Deadline: time.Minute, MaxAttempts: 5, QueueLimit: 500},
 			{Name: "lookup", Urgency: core.Interactive, Request: core.Resources{MilliCPU: 500, MemoryMB: 500, Slots: 1, Connections: 4},
 				RunTime: 50 * time.Millisecond, Deadline: 5 * time.Second, MaxAttempts: 3, QueueLimit: 100},
 			{Name: "preview", Urgency: core.Interactive, Idempotent: true, Request: core.Resources{MilliCPU: 500, MemoryMB: 500, Slots: 1, Connections: 4},
@@ -63,7 +63,7 @@
 	if !c.RunWhile(time.Minute, func() bool { return c.Owner("a") == "" }) {
 		t.Fatal("no host became the owner within a minute")
 	}
-	c.RunFor(time.Second)
+	c.RunFor(3 * time.Second)
 	return c.Owner("a")
 }
 
@@ -73,7 +73,7 @@
 	for range n {
 		jobs = append(jobs, c.Submit(Job{
 			ID: core.JobID(fmt.Sprintf("%s-%d", kind, len(c.ids))), Team: "red", Kind: kind, Host: host,
-			Program: worker.Program{RunMS: runMS}, Deadline: 3 * time.Minute, Patience: 2 * time.Minute,
+			Program: worker.Program{RunMS: runMS}, Deadline: time.Minute, Patience: 2 * time.Minute,
 		}))
 	}
 	return jobs
