Keep the slot of a call of unknown fate in use

Cause: a call that got no answer in time gave its slot back while the worker still carried it out. Change: an attempt that may have run keeps its slot until the deadline of its kind has passed once more.

--- a/core/pool.go
+++ b/core/pool.go
@@ -34,6 +34,8 @@
 	finished int
 	failed   int
 	latency  time.Duration
+	// doubts are the ends of the use by attempts of unknown fate, in order.
+	doubts []Time
 }
 
 // Ticket allows one attempt of a call.
@@ -122,6 +124,7 @@
 	if k == nil || now >= p.expires {
 		return Ticket{}, false
 	}
+	p.Expire(now)
 	var best *poolSlot
 	for i := range k.slots {
 		s := &k.slots[i]
@@ -162,6 +165,30 @@
 	s.failed++
 }
 
+// Doubt keeps the slot of an attempt of unknown fate in use. The worker may still
+// carry the attempt out, also if its caller no longer waits, so the slot returns
+// only when the deadline of the kind has passed once more.
+func (p *GrantPool) Doubt(now Time, t Ticket) {
+	k := p.kind(queueKey{t.Team, t.Kind})
+	s := k.slot(t.Worker)
+	s.failed++
+	s.doubts = append(s.doubts, now.Add(k.rules.Deadline))
+}
+
+// Expire returns the slots of attempts that have surely ended.
+func (p *GrantPool) Expire(now Time) {
+	for _, key := range p.order {
+		k := p.kinds[key]
+		for i := range k.slots {
+			s := &k.slots[i]
+			for len(s.doubts) > 0 && s.doubts[0] <= now {
+				s.doubts = s.doubts[1:]
+				s.inUse = max(0, s.inUse-1)
+			}
+		}
+	}
+}
+
 // SpendRetry takes one retry from the budget of a kind and reports whether there
 // was room for it.
 func (p *GrantPool) SpendRetry(team TeamName, kind KindName) bool {
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -102,7 +102,11 @@
 	c.Epoch, c.Attempt = t.Epoch, attempt
 	began := d.clock.now()
 	answer, err := d.workers.Call(ctx, t.Address, c)
-	d.grants.Return(t, err == nil, d.clock.now().Sub(began))
+	if err != nil && err.Verdict == core.MayHaveRun {
+		d.grants.Doubt(t)
+	} else {
+		d.grants.Return(t, err == nil, d.clock.now().Sub(began))
+	}
 	if err == nil {
 		return answer, core.AttemptResult{}
 	}
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -114,6 +114,14 @@
 	p.serve()
 }
 
+// Doubt keeps the slot of a call of unknown fate in use for a time.
+func (p *Pool) Doubt(t core.Ticket) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Doubt(p.now(), t)
+	p.notify()
+}
+
 // serve hands free slots to waiting requests in the order of their arrival.
 func (p *Pool) serve() {
 	now := p.now()
@@ -142,5 +150,6 @@
 func (p *Pool) Report() core.CallsReported {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.state.Expire(p.now())
 	return p.state.Report()
 }
--- a/virtual/traffic.go
+++ b/virtual/traffic.go
@@ -169,7 +169,11 @@
 		if e == nil && (!ok || result.RequestID != run.call.ID || result.Attempt != attempt) {
 			e = &workerError{verdict: core.MayHaveRun, reason: core.ReasonUpstream}
 		}
-		h.traffic.pool.Return(t, e == nil, h.c.now.Sub(began))
+		if e != nil && e.verdict == core.MayHaveRun {
+			h.traffic.pool.Doubt(h.c.now, t)
+		} else {
+			h.traffic.pool.Return(t, e == nil, h.c.now.Sub(began))
+		}
 		h.notify()
 		h.serveWaiting()
 		if e == nil {
@@ -215,5 +219,6 @@
 // report tells the reducer of the use of grants.
 func (h *host) report() {
 	h.traffic.reporting = false
+	h.traffic.pool.Expire(h.c.now)
 	h.post(h.traffic.pool.Report())
 }
