Tell callers an outcome only when a successor cannot come to another one

Cause: a cancelled or refused job was answered as not run before its final record was durable. An owner that was paused, or cut off from a store that hangs, had a successor that started the job (TestFaultsOfHosts, TestFaultsWithTwoDataCentres). A task that failed before the answer to its start arrived did not count as begun, and neither did one that was lost with its worker (TestFaultsOfAllKindsTogether). Change: outcomes other than success are told once their record is durable; an ended task counts as begun; a lost one makes the verdict at least may_have_run.

--- a/core/job.go
+++ b/core/job.go
@@ -132,8 +132,14 @@
 	// cancelled is set once a caller has asked for cancellation.
 	cancelled bool
 	// began is set once a worker is known to have started any task.
-	began     bool
-	preempted int
+	began bool
+	// doubtful is set once an attempt was given up of which nobody can tell
+	// whether it ran.
+	doubtful bool
+	// unconfirmed is set while the final outcome is not durable. A successor
+	// may then come to another one, so callers are not told.
+	unconfirmed bool
+	preempted   int
 	// inQueue is kept by queues.
 	inQueue bool
 	// notBefore holds the job back after a failed attempt.
@@ -174,6 +180,9 @@
 // holdsCapacity reports whether the task's request counts as assigned.
 func (t *task) holdsCapacity() bool { return t.state != taskWaiting && t.state != taskDone }
 
+// settled reports whether the job has a final outcome that callers may be told.
+func (j *job) settled() bool { return j.state.Final() && !j.unconfirmed }
+
 // everStarted reports whether any attempt of any task has left for a worker.
 func (j *job) everStarted() bool {
 	for i := range j.tasks {
@@ -219,6 +228,9 @@
 		Verdict: j.verdict(), Refusal: j.refusal, Result: j.result,
 		Age: now.Sub(j.spec.Submitted), Finished: j.state.Final(),
 	}
+	if j.unconfirmed {
+		s.State, s.Verdict, s.Refusal, s.Result, s.Finished = JobSettling, MayHaveRun, nil, nil, false
+	}
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		s.Tasks = append(s.Tasks, TaskStatus{
--- a/core/journal.go
+++ b/core/journal.go
@@ -238,6 +238,11 @@
 		r.onAccepted(job)
 	case RecordAssigned:
 		r.onAssignmentDurable(job, rec.Task)
+	case RecordFinished:
+		if job.unconfirmed {
+			job.unconfirmed = false
+			r.answerWaiters(job)
+		}
 	}
 }
 
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -239,6 +239,7 @@
 // taskEnded handles the end of an attempt.
 func (r *Reducer) taskEnded(w *worker, j *job, t *task, rep *TaskReport) {
 	wasStopping := t.stopping
+	j.began = true
 	r.releaseTask(j, t, taskWaiting)
 	r.kinds.noteEnd(j, rep)
 	switch rep.State {
@@ -293,13 +294,17 @@
 	r.jobs.note(j, r.now, state.String(), "")
 	if j.journaled {
 		r.appendRecord(j.finishedRecord())
+		// A success stands in the worker's ledger, where a successor finds it.
+		j.unconfirmed = state != JobSucceeded
 	}
 	reason := Reason(state.String())
 	if ref != nil {
 		reason = ref.Reason
 	}
 	r.count(MetricFinished, reason, j.spec.Team, j.spec.Kind)
-	r.answerWaiters(j)
+	if !j.unconfirmed {
+		r.answerWaiters(j)
+	}
 	r.jobs.schedule(j)
 }
 
@@ -341,9 +346,11 @@
 	}
 	ref := refuse(reason, "job %q: %s", j.spec.ID, message)
 	state := JobRefused
-	if j.began {
-		ref.Verdict = Ran
-		state = JobFailed
+	switch {
+	case j.began:
+		ref.Verdict, state = Ran, JobFailed
+	case j.doubtful:
+		ref.Verdict, state = MayHaveRun, JobFailed
 	}
 	if reason == ReasonCancelled {
 		state = JobCancelled
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -129,6 +129,9 @@
 func (r *Reducer) restoreJob(spec JobSpec) {
 	j := r.newJob(spec, r.docs.kind(spec.Team, spec.Kind))
 	j.journaled = true
+	// Starts of idempotent tasks are in no record, and a worker that has gone
+	// since cannot be asked.
+	j.doubtful = j.kind.Idempotent
 	j.state = JobSettling
 	r.jobs.add(j)
 	r.jobs.schedule(j)
--- a/core/submit.go
+++ b/core/submit.go
@@ -179,12 +179,15 @@
 		r.refuse(c.Request, refuse(ReasonUnknownJob, "job %q is not known", c.Job), "", "")
 		return
 	}
-	if j.state.Final() {
+	if j.settled() {
 		r.emit(Reply{Request: c.Request, Status: j.status(r.now)})
 		return
 	}
-	j.cancelled = true
 	r.jobs.wait(j, c.Request)
+	if j.state.Final() {
+		return
+	}
+	j.cancelled = true
 	switch j.state {
 	case JobAccepting:
 		if r.dropOpenRecords(j.spec.ID) {
@@ -211,7 +214,7 @@
 		r.refuse(s.Request, refuse(ReasonUnknownJob, "job %q is not known", s.Job), "", "")
 	case s.Explain:
 		r.emit(Reply{Request: s.Request, Explain: r.explain(j)})
-	case s.Wait && !j.state.Final():
+	case s.Wait && !j.settled():
 		r.jobs.wait(j, s.Request)
 	default:
 		r.emit(Reply{Request: s.Request, Status: j.status(r.now)})
--- a/core/sync.go
+++ b/core/sync.go
@@ -204,6 +204,7 @@
 // taskLost ends an attempt of which nobody can tell whether it ran to its end.
 func (r *Reducer) taskLost(j *job, t *task) {
 	began := t.state == taskRunning || j.began
+	j.doubtful = true
 	r.releaseTask(j, t, taskWaiting)
 	if j.kind.Idempotent || j.service != "" {
 		r.count(MetricRetries, ReasonWorkerLost, j.spec.Team, j.spec.Kind)
