Never use a grant version again

Cause: a host that was cut off for longer than its grants last was forgotten, and its versions began again at 1. When it returned, its old list had the number of the new one and was renewed, so it made calls on capacity given to others (TestFaultsOfLinks). Change: versions are drawn from one counter per owner.

--- a/core/grants.go
+++ b/core/grants.go
@@ -83,6 +83,9 @@
 type grantTable struct {
 	hosts []*hostGrants
 	next  Time
+	// version is the last that any host was given. Versions are not used
+	// again, since a host that was forgotten may return with an old one.
+	version uint64
 	// local is what the traffic side of this host has in force.
 	local      []Grant
 	localEpoch Epoch
@@ -182,7 +185,8 @@
 		}
 	}
 	if h.changed {
-		h.version++
+		r.grants.version++
+		h.version = r.grants.version
 		h.changed = false
 	}
 }
@@ -278,7 +282,7 @@
 	if e.target == target {
 		return
 	}
-	e.target, e.version = target, h.version+1
+	e.target, e.version = target, r.grants.version+1
 	h.changed = true
 	r.setHeld(e, max(e.held, target))
 }
