End a job past its deadline instead of starting it again

Cause: a start that the worker refused for its latest start time put the job back into its queue, also after the job's deadline, and it was started again at once: 20000 starts in three minutes (TestFaultsWithTwoDataCentres). Change: a job without running tasks ends when it would be queued after its deadline.

--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -117,7 +117,7 @@
 	if j.state.Final() || !j.hasTaskIn(taskWaiting) {
 		return
 	}
-	if j.cancelled && !j.runsSomewhere() {
+	if (j.cancelled || r.now >= j.deadline()) && !j.runsSomewhere() {
 		r.endUnstarted(j)
 		return
 	}
