--- a/core/effect.go
+++ b/core/effect.go
@@ -30,6 +30,9 @@
 		Request RequestID
 		Host    HostID
 		Address string
+		// Verdict is what is known of the request from before. ForwardFailed
+		// carries back at least this.
+		Verdict Verdict
 	}
 
 	// GetValue reads one key of the store.
--- a/core/forward.go
+++ b/core/forward.go
@@ -86,7 +86,9 @@
 		parked := r.parked
 		r.parked = nil
 		for _, p := range parked {
-			r.emit(Forward{Request: p.id, Host: r.owner.ownerHost, Address: r.owner.ownerAddress})
+			r.emit(Forward{
+				Request: p.id, Host: r.owner.ownerHost, Address: r.owner.ownerAddress, Verdict: p.verdict,
+			})
 		}
 		return
 	}
@@ -95,7 +97,7 @@
 		parked := r.parked
 		r.parked = nil
 		for _, p := range parked {
-			r.emit(Forward{Request: p.id, Host: r.cfg.Host, Address: r.cfg.Address})
+			r.emit(Forward{Request: p.id, Host: r.cfg.Host, Address: r.cfg.Address, Verdict: p.verdict})
 		}
 		return
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -66,11 +66,12 @@
 				q.answer(reply)
 				return
 			}
-			done, verdict := d.forward(ctx, w, o, f.(core.Forward))
+			forward := f.(core.Forward)
+			done, verdict := d.forward(ctx, w, o, forward)
 			if done {
 				return
 			}
-			d.post(ctx, core.ForwardFailed{Request: id, Verdict: verdict})
+			d.post(ctx, core.ForwardFailed{Request: id, Verdict: max(verdict, forward.Verdict)})
 		case <-ctx.Done():
 			d.post(context.WithoutCancel(r.Context()), core.RequestAbandoned{Request: id})
 			if q.expired != nil && r.Context().Err() == nil {
--- a/virtual/host.go
+++ b/virtual/host.go
@@ -241,7 +241,7 @@
 		case fail == broken:
 			h.post(core.ForwardFailed{Request: f.Request, Verdict: core.MayHaveRun})
 		case !ok || reply.Refusal != nil && reply.Refusal.Reason == core.ReasonNoOwner:
-			h.post(core.ForwardFailed{Request: f.Request, Verdict: core.NotRun})
+			h.post(core.ForwardFailed{Request: f.Request, Verdict: f.Verdict})
 		default:
 			reply.Request = f.Request
 			h.reply(reply)
