--- a/virtual/account.go
+++ b/virtual/account.go
@@ -96,7 +96,9 @@
 	Lost []core.JobID
 	// Changed are jobs with two different final outcomes.
 	Changed []core.JobID
-	// Doubled are tasks and calls that ran twice at one moment.
+	// Doubled are tasks, and calls that are not idempotent, that ran twice at
+	// one moment. An idempotent call may be tried again while the worker that
+	// gave no answer still runs it.
 	Doubled []worker.Repeat
 	// Repeated are tasks and calls that are not idempotent and were started
 	// more than once. A start from a checkpoint does not count.
@@ -139,7 +141,12 @@
 func (c *Cluster) Accounts(recovery time.Duration) *Accounts {
 	reports := c.WorkerReports()
 	a := &Accounts{Summary: worker.Summarize(reports), Reverts: slices.Clone(c.reverts), LostEdits: c.lostEdits()}
-	a.Doubled, a.OverAssigned, a.LateStarts = a.Summary.Doubled, a.Summary.OverAssigned, a.Summary.StartsAfterLeaving
+	a.OverAssigned, a.LateStarts = a.Summary.OverAssigned, a.Summary.StartsAfterLeaving
+	for _, d := range a.Summary.Doubled {
+		if d.Entry == worker.EntryTask || !c.idempotent(d.Team, d.Kind) {
+			a.Doubled = append(a.Doubled, d)
+		}
+	}
 	ran := map[string]bool{}
 	resumed := map[worker.Repeat]int{}
 	for _, r := range reports {
