--- a/core/submit.go
+++ b/core/submit.go
@@ -51,7 +51,8 @@
 	r.emit(Reply{Request: s.Request, Status: j.status(r.now)})
 }
 
-// admit checks a new job. The refusals it gives are all true "not run".
+// admit checks a new job. Except for a standby's, its refusals are all true
+// "not run".
 func (r *Reducer) admit(spec *JobSpec) (*Kind, *Refusal) {
 	t := r.docs.team(spec.Team)
 	if t == nil {
@@ -68,9 +69,7 @@
 	case r.draining:
 		return nil, refuse(ReasonDraining, "host is stopping; ask again")
 	case r.owner.role == roleStandby:
-		ref := refuse(ReasonStoreUnavailable, "the store cannot be reached; no job can be made durable")
-		ref.RetryAfter = maxWaitHint
-		return nil, ref
+		return nil, withoutJournal()
 	}
 	if ref := r.admitSize(kind); ref != nil {
 		return nil, ref
@@ -78,6 +77,23 @@
 	return kind, r.admitQueue(t, kind)
 }
 
+// withoutJournal is the refusal of a standby, which cannot read the journal. The
+// former owner may have accepted the job.
+func withoutJournal() *Refusal {
+	ref := refuse(ReasonStoreUnavailable, "the store cannot be reached; no job can be read or made durable")
+	ref.Verdict, ref.RetryAfter = MayHaveRun, maxWaitHint
+	return ref
+}
+
+// unknownJob refuses a request about a job that is not known here.
+func (r *Reducer) unknownJob(request RequestID, id JobID) {
+	ref := refuse(ReasonUnknownJob, "job %q is not known", id)
+	if r.owner.role == roleStandby {
+		ref = withoutJournal()
+	}
+	r.refuse(request, ref, "", "")
+}
+
 // admitSize refuses a kind that the workers could not hold even if they were
 // empty.
 func (r *Reducer) admitSize(kind *Kind) *Refusal {
@@ -176,7 +192,7 @@
 	}
 	j := r.jobs.get(c.Job)
 	if j == nil || j.service != "" {
-		r.refuse(c.Request, refuse(ReasonUnknownJob, "job %q is not known", c.Job), "", "")
+		r.unknownJob(c.Request, c.Job)
 		return
 	}
 	if j.settled() {
@@ -211,7 +227,7 @@
 	j := r.jobs.get(s.Job)
 	switch {
 	case j == nil:
-		r.refuse(s.Request, refuse(ReasonUnknownJob, "job %q is not known", s.Job), "", "")
+		r.unknownJob(s.Request, s.Job)
 	case s.Explain:
 		r.emit(Reply{Request: s.Request, Explain: r.explain(j)})
 	case s.Wait && !j.settled():
