--- a/core/sync.go
+++ b/core/sync.go
@@ -196,12 +196,15 @@
 		delete(w.orphans, ref)
 		r.fleet.hold(w, need.Times(-1))
 	}
-	r.grants.forgetWorker(r, w)
+	if silent {
+		r.grants.withdrawFrom(r, w)
+	}
 }
 
 // taskLost ends an attempt of which nobody can tell whether it ran to its end.
 func (r *Reducer) taskLost(j *job, t *task) {
 	began := t.state == taskRunning || j.began
+	j.doubtful = true
 	r.releaseTask(j, t, taskWaiting)
 	if j.kind.Idempotent || j.service != "" {
 		r.count(MetricRetries, ReasonWorkerLost, j.spec.Team, j.spec.Kind)
--- a/virtual/account.go
+++ b/virtual/account.go
@@ -96,7 +96,9 @@
 	Lost []core.JobID
 	// Changed are jobs with two different final outcomes.
 	Changed []core.JobID
-	// Doubled are tasks and calls that ran twice at one moment.
+	// Doubled are tasks, and calls that are not idempotent, that ran twice at
+	// one moment. An idempotent call may be tried again while the worker that
+	// gave no answer still runs it.
 	Doubled []worker.Repeat
 	// Repeated are tasks and calls that are not idempotent and were started
 	// more than once. A start from a checkpoint does not count.
@@ -139,7 +141,12 @@
 func (c *Cluster) Accounts(recovery time.Duration) *Accounts {
 	reports := c.WorkerReports()
 	a := &Accounts{Summary: worker.Summarize(reports), Reverts: slices.Clone(c.reverts), LostEdits: c.lostEdits()}
-	a.Doubled, a.OverAssigned, a.LateStarts = a.Summary.Doubled, a.Summary.OverAssigned, a.Summary.StartsAfterLeaving
+	a.OverAssigned, a.LateStarts = a.Summary.OverAssigned, a.Summary.StartsAfterLeaving
+	for _, d := range a.Summary.Doubled {
+		if d.Entry == worker.EntryTask || !c.idempotent(d.Team, d.Kind) {
+			a.Doubled = append(a.Doubled, d)
+		}
+	}
 	ran := map[string]bool{}
 	resumed := map[worker.Repeat]int{}
 	for _, r := range reports {
@@ -176,16 +183,22 @@
 	return a
 }
 
-// idempotent reports whether a kind is idempotent by the first documents.
-func (c *Cluster) idempotent(team core.TeamName, kind core.KindName) bool {
+// kind returns a kind by the first documents, or nil.
+func (c *Cluster) kind(team core.TeamName, name core.KindName) *core.Kind {
 	for i := range c.cfg.Documents {
 		if d := &c.cfg.Documents[i]; d.Team == team {
-			if k, ok := d.Kind(kind); ok {
-				return k.Idempotent
+			if k, ok := d.Kind(name); ok {
+				return k
 			}
 		}
 	}
-	return true
+	return nil
+}
+
+// idempotent reports whether a kind is idempotent.
+func (c *Cluster) idempotent(team core.TeamName, kind core.KindName) bool {
+	k := c.kind(team, kind)
+	return k == nil || k.Idempotent
 }
 
 // lostEdits lists the accepted edits that the store does not hold.
--- a/virtual/traffic.go
+++ b/virtual/traffic.go
@@ -6,6 +6,7 @@
 
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/wire"
 )
 
 const (
@@ -53,6 +54,9 @@
 func (c *Cluster) Call(call Call) *Call {
 	out := &call
 	out.Began = c.now
+	if kind := c.kind(out.Team, out.Kind); kind != nil {
+		out.Program.Request = wire.FromResources(kind.Request)
+	}
 	c.calls = append(c.calls, out)
 	h := c.hosts[out.Host]
 	c.ask(Callers, Party(out.Host), 2*requestWait, func(id uint64) {
@@ -165,7 +169,11 @@
 		if e == nil && (!ok || result.RequestID != run.call.ID || result.Attempt != attempt) {
 			e = &workerError{verdict: core.MayHaveRun, reason: core.ReasonUpstream}
 		}
-		h.traffic.pool.Return(t, e == nil, h.c.now.Sub(began))
+		if e != nil && e.verdict == core.MayHaveRun {
+			h.traffic.pool.Doubt(h.c.now, t)
+		} else {
+			h.traffic.pool.Return(t, e == nil, h.c.now.Sub(began))
+		}
 		h.notify()
 		h.serveWaiting()
 		if e == nil {
@@ -211,5 +219,6 @@
 // report tells the reducer of the use of grants.
 func (h *host) report() {
 	h.traffic.reporting = false
+	h.traffic.pool.Expire(h.c.now)
 	h.post(h.traffic.pool.Report())
 }
