Renew the owner's lease three times within any lease

The renewal period was a constant 2 s and the margin 1 s, which fit the usual lease of 6 s. Both are now parts of the lease; for 6 s they are as before.

--- a/core/ownership.go
+++ b/core/ownership.go
@@ -40,11 +40,11 @@
 	// leasePollWithOwner is how often a follower reads the owner's record
 	// while it hears the owner.
 	leasePollWithOwner = 15 * time.Second
-	// renewEvery is how often the owner renews its lease: three tries within
-	// a lease.
-	renewEvery = 2 * time.Second
-	// leaseMargin is kept free before the end of the lease.
-	leaseMargin = time.Second
+	// renewTries is how many renewals are sent within a lease.
+	renewTries = 3
+	// leaseMarginPart is the part of the lease that is kept free at its end:
+	// 1 s of the usual 6 s.
+	leaseMarginPart = 6
 	// claimTimeout ends a claim that got no answer.
 	claimTimeout = 5 * time.Second
 	// epochStep leaves room for the epochs of an owner's standbys, each of
@@ -98,7 +98,7 @@
 
 // leaseValid reports whether the owner's lease surely holds at now.
 func (r *Reducer) leaseValid() bool {
-	return r.owner.lease != "" && r.now.Sub(r.owner.renewed) < r.cfg.OwnerLease-leaseMargin
+	return r.owner.lease != "" && r.now.Sub(r.owner.renewed) < r.cfg.OwnerLease-r.cfg.OwnerLease/leaseMarginPart
 }
 
 func (r *Reducer) cellKey(name string) string {
@@ -156,7 +156,7 @@
 	if r.now < o.nextRenew {
 		return
 	}
-	o.nextRenew = r.now.Add(renewEvery)
+	o.nextRenew = r.now.Add(r.cfg.OwnerLease / renewTries)
 	if o.lease == "" {
 		r.emit(GrantLease{Op: r.op(PurposeLeaseGrant, ""), TimeToLive: r.cfg.OwnerLease})
 		return
@@ -368,7 +368,7 @@
 	o := &r.owner
 	o.role, o.epoch = roleStandby, o.standbyEpoch
 	o.ownerHost, o.ownerAddress, o.ownerEpoch = r.cfg.Host, r.cfg.Address, o.epoch
-	o.nextRenew = r.now.Add(renewEvery)
+	o.nextRenew = r.now.Add(r.cfg.OwnerLease / renewTries)
 	r.count(MetricTakeovers, ReasonStoreUnavailable, "", "")
 	r.emit(Log{Level: LogWarn, Message: "standby takes over without the store", Epoch: o.epoch})
 	r.beginFencing()
