Name replicas of services by their data centre

A service has replicas in each data centre, and replica n had the same job id in all of them. The id now holds the data centre.

--- a/core/service.go
+++ b/core/service.go
@@ -18,10 +18,11 @@
 	service string
 }
 
-// replicaID names a replica. It is the same under every owner, so that a new
-// owner recognises the replicas that run.
-func replicaID(key serviceKey, n int) JobID {
-	return JobID(ServicePrefix + string(key.team) + "/" + key.service + "/" + strconv.Itoa(n))
+// replicaID names a replica of a data centre. It is the same under every owner,
+// so that a new owner recognises the replicas that run. It holds the data centre,
+// since no job id may run at two workers.
+func replicaID(dc DataCentre, key serviceKey, n int) JobID {
+	return JobID(ServicePrefix + string(dc) + "/" + string(key.team) + "/" + key.service + "/" + strconv.Itoa(n))
 }
 
 // tickServices keeps the replicas of the long-running services that the
@@ -80,7 +81,7 @@
 	}
 	down := 0
 	for n := range s.Replicas {
-		id := replicaID(key, n)
+		id := replicaID(r.cfg.DataCentre, key, n)
 		j := have[id]
 		delete(have, id)
 		if j == nil {
