Pass submits on and serve waiting calls during a planned stop

A draining owner now parks submits for its successor, a busy host keeps its grants, and the listener stays open until no call waits.

--- a/core/grants.go
+++ b/core/grants.go
@@ -159,7 +159,8 @@
 
 // divide adjusts the grants of one host to its use.
 func (r *Reducer) divide(h *hostGrants, budget *int) {
-	live := r.now.Sub(h.heard) < peerSilence && !r.peers.isDraining(h.host)
+	// A host that is about to stop serves the calls that it has before it stops.
+	live := r.now.Sub(h.heard) < peerSilence && (h.busy() || !r.peers.isDraining(h.host))
 	for _, t := range r.docs.teams {
 		for i := range t.doc().Kinds {
 			k := &t.doc().Kinds[i]
@@ -187,6 +188,16 @@
 	}
 }
 
+// busy reports whether the host has calls in progress or waiting.
+func (h *hostGrants) busy() bool {
+	for _, d := range h.demand {
+		if d.inUse+d.waiting > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // divideKind adjusts the grants of one kind.
 func (r *Reducer) divideKind(h *hostGrants, t *team, k *Kind, live bool, budget *int) {
 	key := queueKey{t.name, k.Name}
--- a/core/submit.go
+++ b/core/submit.go
@@ -18,6 +18,11 @@
 		r.onRepeatedSubmit(s, j)
 		return
 	}
+	if r.draining {
+		// It is passed on to the next owner once one is known.
+		r.park(s.Request, NotRun, ReasonDraining)
+		return
+	}
 	kind, ref := r.admit(&s.Spec)
 	if ref != nil {
 		r.refuse(s.Request, ref, s.Spec.Team, s.Spec.Kind)
@@ -65,8 +70,6 @@
 		return nil, refuse(ReasonInvalid, "kind %q is interactive; use a call", spec.Kind)
 	case len(spec.Payload) > MaxPayloadBytes:
 		return nil, refuse(ReasonTooLarge, "payload of %d bytes exceeds %d", len(spec.Payload), MaxPayloadBytes)
-	case r.draining:
-		return nil, refuse(ReasonDraining, "host is stopping; ask again")
 	case r.owner.role == roleStandby:
 		ref := refuse(ReasonStoreUnavailable, "the store cannot be reached; no job can be made durable")
 		ref.RetryAfter = maxWaitHint
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -29,6 +29,8 @@
 	reportPeriod = time.Second
 	// reportSpacing bounds the reports while there is much activity.
 	reportSpacing = 50 * time.Millisecond
+	// drainPoll is how often a stopping host looks for calls that wait.
+	drainPoll = 50 * time.Millisecond
 	// maxHeaderBytes bounds the request line and headers of a request, and
 	// hardHeaderBytes what the server reads of them before it gives up.
 	maxHeaderBytes  = 16 << 10
@@ -158,6 +160,9 @@
 	case <-d.stopped:
 	case <-limit.Done():
 	}
+	// Once the listener is closed, no grants of the next owner arrive.
+	for d.grants.Waiting() > 0 && sleep(limit, drainPoll) {
+	}
 	if err := d.server.Shutdown(limit); err != nil {
 		d.log.Warn().Err(err).Msg("requests were still in progress at the end of the drain timeout")
 	}
--- a/grant/pool.go
+++ b/grant/pool.go
@@ -127,6 +127,13 @@
 	})
 }
 
+// Waiting returns the number of requests that wait for a slot.
+func (p *Pool) Waiting() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters)
+}
+
 // notify wakes whoever waits for Activity.
 func (p *Pool) notify() {
 	select {
