Take over what workers report of attempts that are in no record

Attempts of idempotent tasks are not journaled, so a restored task began again at attempt 1. If the former owner's attempt 1 had ended at the same worker while nobody owned the cell, its report was dropped as an orphan, the new start was answered as known, and the job stayed running for ever. A restored task now takes over an attempt that runs or has succeeded, and numbers its next attempt above every reported one.

--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -177,11 +177,11 @@
 // room counts as assigned; an owner stops it. A standby has no journal and lets
 // it run.
 func (r *Reducer) onOrphanReport(w *worker, rep *TaskReport) {
-	if rep.State != ReportedRunning {
-		r.fleet.removeOrphan(w, rep.Task)
+	if r.adoptFromReport(w, rep) {
 		return
 	}
-	if r.adoptFromReport(w, rep) {
+	if rep.State != ReportedRunning {
+		r.fleet.removeOrphan(w, rep.Task)
 		return
 	}
 	r.fleet.addOrphan(w, rep.Task, rep.Requested)
@@ -192,20 +192,33 @@
 	}
 }
 
-// adoptFromReport raises the attempt of a restored task to the one that is
-// found running. An owner that died may have used attempts that are in no record.
+// adoptFromReport raises the attempt of a restored task to the one that a worker
+// reports. An owner that died may have used attempts that are in no record, and
+// a worker does not start an attempt again that is in its ledger. A task that
+// runs or has succeeded is taken over; one that ended without success is not
+// queued yet, since a later attempt may run on another worker.
 func (r *Reducer) adoptFromReport(w *worker, rep *TaskReport) bool {
 	j := r.jobs.get(rep.Task.Job)
-	if j == nil || j.state != JobSettling || rep.Task.Task >= len(j.tasks) {
+	if j == nil || rep.Task.Task >= len(j.tasks) {
 		return false
 	}
 	t := &j.tasks[rep.Task.Task]
 	if t.holdsCapacity() || rep.Task.Attempt <= t.attempt || t.state == taskDone {
 		return false
 	}
+	if rep.State != ReportedRunning {
+		t.attempt = rep.Task.Attempt
+	}
+	if j.state != JobSettling || (rep.State != ReportedRunning && rep.State != ReportedSucceeded) {
+		return false
+	}
 	t.attempt = rep.Task.Attempt
 	t.state = taskStarting
 	r.fleet.assign(w, j, t, rep.Requested)
+	if rep.State == ReportedSucceeded {
+		r.taskEnded(w, j, t, rep)
+		return true
+	}
 	r.taskStarted(j, t)
 	return true
 }
