--- a/core/ownership.go
+++ b/core/ownership.go
@@ -178,6 +178,8 @@
 		r.onLeaseGranted(a)
 	case PurposeLeaseKey:
 		r.onLeaseKey(a)
+	case PurposeLeaseReadBack:
+		r.onLeaseReadBack(a)
 	case PurposeOwnerSwap:
 		r.onOwnerSwapped(a)
 	case PurposeOwnerUpdate:
@@ -215,9 +217,13 @@
 }
 
 func (r *Reducer) onLeaseKey(a StoreAnswered) {
+	if a.Outcome == StoreInDoubt {
+		key := r.cellKey("lease")
+		r.emit(GetValue{Op: r.op(PurposeLeaseReadBack, key), Key: key})
+		return
+	}
 	if a.Outcome != StoreOK {
-		// Another host holds the key, or the answer was lost and our own
-		// lease holds it until it lapses.
+		// Another host holds the key.
 		if r.owner.active() && a.Outcome == StoreConflict {
 			r.owner.lease = ""
 			r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
@@ -229,6 +235,20 @@
 	r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
 }
 
+// onLeaseReadBack decides what became of a write of the lease key whose answer
+// was lost. Giving the claim up instead can repeat for ever when the store loses
+// answers at a steady rate.
+func (r *Reducer) onLeaseReadBack(a StoreAnswered) {
+	if a.Outcome == StoreOK && len(a.Items) == 1 && r.owner.lease != "" {
+		rec, ok := a.Items[0].Value.(LeaseRecord)
+		if ok && rec.Host == r.cfg.Host && rec.Incarnation == r.cfg.Incarnation {
+			r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
+			return
+		}
+	}
+	r.abandonClaim()
+}
+
 // onOwnerRecord decides, holding the lease key, whether to swap the record.
 func (r *Reducer) onOwnerRecord(a StoreAnswered) {
 	o := &r.owner
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -179,7 +179,7 @@
 func (r *Reducer) onStoreAnswered(a StoreAnswered) {
 	r.owner.noteStore(a.Outcome, r.now)
 	switch a.Op.Purpose {
-	case PurposeOwnerRead, PurposeLeaseGrant, PurposeLeaseKey, PurposeOwnerSwap, PurposeOwnerUpdate,
+	case PurposeOwnerRead, PurposeLeaseGrant, PurposeLeaseKey, PurposeLeaseReadBack, PurposeOwnerSwap, PurposeOwnerUpdate,
 		PurposeLeaseRenew, PurposeLeaseRevoke:
 		r.onOwnershipAnswer(a)
 	case PurposeJournalLoad, PurposeJournalOpen:
--- a/core/store.go
+++ b/core/store.go
@@ -29,13 +29,14 @@
 	PurposeDocumentList
 	PurposeDocumentWatch
 	PurposeDocumentHistory
+	PurposeLeaseReadBack
 )
 
 var purposeNames = [...]string{
 	"owner_read", "lease_grant", "lease_key", "owner_swap", "owner_update", "lease_renew", "lease_revoke",
 	"journal_write", "journal_read_back", "journal_load", "journal_open", "journal_delete",
 	"document_read", "document_write", "document_read_back", "document_list",
-	"document_watch", "document_history",
+	"document_watch", "document_history", "lease_read_back",
 }
 
 // String returns the name used in metrics.
