--- a/core/ownership.go
+++ b/core/ownership.go
@@ -40,11 +40,11 @@
 	// leasePollWithOwner is how often a follower reads the owner's record
 	// while it hears the owner.
 	leasePollWithOwner = 15 * time.Second
-	// renewEvery is how often the owner renews its lease: three tries within
-	// a lease.
-	renewEvery = 2 * time.Second
-	// leaseMargin is kept free before the end of the lease.
-	leaseMargin = time.Second
+	// renewTries is how many renewals are sent within a lease.
+	renewTries = 3
+	// leaseMarginPart is the part of the lease that is kept free at its end:
+	// 1 s of the usual 6 s.
+	leaseMarginPart = 6
 	// claimTimeout ends a claim that got no answer.
 	claimTimeout = 5 * time.Second
 	// epochStep leaves room for the epochs of an owner's standbys, each of
@@ -98,7 +98,7 @@
 
 // leaseValid reports whether the owner's lease surely holds at now.
 func (r *Reducer) leaseValid() bool {
-	return r.owner.lease != "" && r.now.Sub(r.owner.renewed) < r.cfg.OwnerLease-leaseMargin
+	return r.owner.lease != "" && r.now.Sub(r.owner.renewed) < r.cfg.OwnerLease-r.cfg.OwnerLease/leaseMarginPart
 }
 
 func (r *Reducer) cellKey(name string) string {
@@ -156,7 +156,7 @@
 	if r.now < o.nextRenew {
 		return
 	}
-	o.nextRenew = r.now.Add(renewEvery)
+	o.nextRenew = r.now.Add(r.cfg.OwnerLease / renewTries)
 	if o.lease == "" {
 		r.emit(GrantLease{Op: r.op(PurposeLeaseGrant, ""), TimeToLive: r.cfg.OwnerLease})
 		return
@@ -178,6 +178,8 @@
 		r.onLeaseGranted(a)
 	case PurposeLeaseKey:
 		r.onLeaseKey(a)
+	case PurposeLeaseReadBack:
+		r.onLeaseReadBack(a)
 	case PurposeOwnerSwap:
 		r.onOwnerSwapped(a)
 	case PurposeOwnerUpdate:
@@ -215,9 +217,13 @@
 }
 
 func (r *Reducer) onLeaseKey(a StoreAnswered) {
+	if a.Outcome == StoreInDoubt {
+		key := r.cellKey("lease")
+		r.emit(GetValue{Op: r.op(PurposeLeaseReadBack, key), Key: key})
+		return
+	}
 	if a.Outcome != StoreOK {
-		// Another host holds the key, or the answer was lost and our own
-		// lease holds it until it lapses.
+		// Another host holds the key.
 		if r.owner.active() && a.Outcome == StoreConflict {
 			r.owner.lease = ""
 			r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
@@ -229,6 +235,20 @@
 	r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
 }
 
+// onLeaseReadBack decides what became of a write of the lease key whose answer
+// was lost. Giving the claim up instead can repeat for ever when the store loses
+// answers at a steady rate.
+func (r *Reducer) onLeaseReadBack(a StoreAnswered) {
+	if a.Outcome == StoreOK && len(a.Items) == 1 && r.owner.lease != "" {
+		rec, ok := a.Items[0].Value.(LeaseRecord)
+		if ok && rec.Host == r.cfg.Host && rec.Incarnation == r.cfg.Incarnation {
+			r.emit(GetValue{Op: r.op(PurposeOwnerRead, r.cellKey("owner")), Key: r.cellKey("owner")})
+			return
+		}
+	}
+	r.abandonClaim()
+}
+
 // onOwnerRecord decides, holding the lease key, whether to swap the record.
 func (r *Reducer) onOwnerRecord(a StoreAnswered) {
 	o := &r.owner
@@ -368,7 +388,7 @@
 	o := &r.owner
 	o.role, o.epoch = roleStandby, o.standbyEpoch
 	o.ownerHost, o.ownerAddress, o.ownerEpoch = r.cfg.Host, r.cfg.Address, o.epoch
-	o.nextRenew = r.now.Add(renewEvery)
+	o.nextRenew = r.now.Add(r.cfg.OwnerLease / renewTries)
 	r.count(MetricTakeovers, ReasonStoreUnavailable, "", "")
 	r.emit(Log{Level: LogWarn, Message: "standby takes over without the store", Epoch: o.epoch})
 	r.beginFencing()
