Add package bench and the command banyanrun-bench

Cause: the bounds of section 1.1 of the design page had no measure. Change: a fake cell in virtual time drives the reducer; first-fit and random placement run on the same traces. Rows for decision cost, packing, waiting, floods, urgent starts and the load on the store.

--- /dev/null
+++ b/bench/baseline.go
@@ -0,0 +1,160 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// picker returns the worker for a request, or -1.
+type picker func(free []core.Resources, need core.Resources) int
+
+// firstFit takes the first worker with room.
+func firstFit(free []core.Resources, need core.Resources) int {
+	for i := range free {
+		if need.Fits(free[i]) {
+			return i
+		}
+	}
+	return -1
+}
+
+// randomFit takes a random worker with room: the first one at or after a random
+// place.
+func randomFit(rng *rand.Rand) picker {
+	return func(free []core.Resources, need core.Resources) int {
+		from := rng.IntN(len(free))
+		for i := range free {
+			if n := (from + i) % len(free); need.Fits(free[n]) {
+				return n
+			}
+		}
+		return -1
+	}
+}
+
+// baseline is a scheduler with one queue in the order of arrival and no quotas,
+// urgency, journal or preemption. A job that does not fit is passed over.
+type baseline struct {
+	timers
+	pick  picker
+	free  []core.Resources
+	trace *Trace
+	queue []*Job
+	// started and ended are in the units of Stats.
+	started map[core.JobID]core.Time
+	ended   map[core.JobID]core.Time
+	used    core.Resources
+	horizon core.Time
+	from    core.Time
+	// cost is the processor time of placements made at or after from.
+	cost   time.Duration
+	placed int
+	// pending is set while a pass over the queue is due.
+	pending bool
+}
+
+// lookahead bounds the jobs that one pass looks at.
+const lookahead = 512
+
+// runBaseline plays a trace. Costs and use count from fromMS on.
+func runBaseline(t *Trace, pick picker, fromMS, untilMS int64) *baseline {
+	b := &baseline{
+		pick: pick, trace: t, from: at(fromMS), horizon: at(untilMS),
+		started: map[core.JobID]core.Time{}, ended: map[core.JobID]core.Time{},
+	}
+	b.now = at(0)
+	for _, w := range t.listed() {
+		b.free = append(b.free, w.Capacity)
+	}
+	b.placeServices()
+	for i := range t.Jobs {
+		j := &t.Jobs[i]
+		if t.kind(j).Urgency == core.Interactive {
+			continue
+		}
+		b.schedule(at(j.AtMS), func() {
+			b.queue = append(b.queue, j)
+			b.passSoon()
+		})
+	}
+	b.run(b.horizon)
+	return b
+}
+
+// placeServices gives every replica of the documents its room for good.
+func (b *baseline) placeServices() {
+	for i := range b.trace.Documents {
+		d := &b.trace.Documents[i]
+		for _, s := range d.Services {
+			kind, ok := d.Kind(s.Kind)
+			for range s.Replicas {
+				if !ok {
+					break
+				}
+				if w := b.pick(b.free, kind.Request); w >= 0 {
+					b.free[w] = b.free[w].Sub(kind.Request)
+				}
+			}
+		}
+	}
+}
+
+// passSoon runs one pass for all arrivals and ends of one moment.
+func (b *baseline) passSoon() {
+	if b.pending {
+		return
+	}
+	b.pending = true
+	b.schedule(b.now, func() {
+		b.pending = false
+		b.pass()
+	})
+}
+
+// pass places what fits, in the order of arrival.
+func (b *baseline) pass() {
+	began := threadTime()
+	before := b.placed
+	failed := map[core.Resources]bool{}
+	kept := b.queue[:0]
+	for i, j := range b.queue {
+		kind := b.trace.kind(j)
+		if i >= lookahead || failed[kind.Request] {
+			kept = append(kept, j)
+			continue
+		}
+		w := b.pick(b.free, kind.Request)
+		if w < 0 {
+			failed[kind.Request] = true
+			kept = append(kept, j)
+			continue
+		}
+		b.start(j, w, kind.Request)
+	}
+	b.queue = kept
+	if b.now >= b.from && b.placed > before {
+		b.cost += threadTime() - began
+	} else if b.now < b.from {
+		b.placed = 0
+	}
+}
+
+// start runs a job on a worker.
+func (b *baseline) start(j *Job, w int, need core.Resources) {
+	b.free[w] = b.free[w].Sub(need)
+	b.started[j.ID] = b.now
+	b.placed++
+	began := b.now
+	b.schedule(b.now.Add(time.Duration(j.RunMS)*time.Millisecond), func() {
+		b.free[w] = b.free[w].Add(need)
+		b.ended[j.ID] = b.now
+		b.passSoon()
+	})
+	// Only the part of the run inside the measured time counts.
+	from, until := max(began, b.from), min(began.Add(time.Duration(j.RunMS)*time.Millisecond), b.horizon)
+	if until > from {
+		b.used = b.used.Add(need.Times(until.Sub(from).Milliseconds()))
+	}
+}
--- /dev/null
+++ b/bench/cell.go
@@ -0,0 +1,244 @@
+package bench
+
+import (
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+const (
+	dataCentre core.DataCentre = "dc-1"
+	region     core.Region     = "region-1"
+	// storeLatency and workerLatency are one round trip to the store and one
+	// way to a worker.
+	storeLatency  = 5 * time.Millisecond
+	workerLatency = time.Millisecond
+	// syncFailure is when a request to a silent worker is given up.
+	syncFailure = 5 * time.Second
+	// failAfter is the run time of a task that fails.
+	failAfter = 200 * time.Millisecond
+	// throttleFactor is how much longer a throttled task runs.
+	throttleFactor = 2
+	// warmUp is the virtual time in which the cell elects its owner and fences
+	// the workers before a trace begins.
+	warmUp = 10 * time.Second
+)
+
+// Meter is told what a step cost. It may be nil.
+type Meter func(body core.EventBody, effects []core.Effect, cost time.Duration)
+
+// Cell drives one reducer as the owner of one data centre in virtual time.
+type Cell struct {
+	timers
+	reducer *core.Reducer
+	store   fakeStore
+	workers map[core.WorkerID]*fakeWorker
+	listed  []core.ListedWorker
+	hosts   []core.ListedHost
+	trace   *Trace
+	jobs    map[core.JobID]*Job
+	saved   map[core.JobID]time.Duration
+	asked   map[core.RequestID]core.JobID
+	request core.RequestID
+	// Stats is what the workers and the callers saw.
+	Stats Stats
+	meter Meter
+}
+
+// Stats is what the workers and the callers saw.
+type Stats struct {
+	// Started is when each job first started at a worker.
+	Started map[core.JobID]core.Time
+	// Outcome is the last answer about each job.
+	Outcome map[core.JobID]*core.JobStatus
+	// Ended is when the final answer arrived.
+	Ended map[core.JobID]core.Time
+	// Refused holds the refusals of submits.
+	Refused map[core.JobID]*core.Refusal
+	// Attempts counts the starts of each task.
+	Attempts map[core.TaskRef]int
+	// Tasks counts the starts at workers.
+	Tasks        int
+	OverAssigned int
+	// Doubled counts tasks that started while another attempt of theirs ran.
+	Doubled int
+	// Used integrates the requests of running tasks over time, in
+	// resource-milliseconds.
+	Used core.Resources
+	live map[taskID]int
+}
+
+// taskID names a task regardless of its attempt.
+type taskID struct {
+	job  core.JobID
+	task int
+}
+
+// NewCell returns a cell for a trace. The warm-up is done and the trace's
+// documents are in force; the arrivals follow with Run.
+func NewCell(t *Trace, meter Meter) *Cell {
+	c := &Cell{
+		reducer: core.New(core.Config{
+			Host: "entry-1", Address: "entry-1", DataCentre: dataCentre, Region: region,
+			Incarnation: 1, Seed: t.Seed,
+		}),
+		store: newFakeStore(), workers: map[core.WorkerID]*fakeWorker{}, listed: t.listed(),
+		trace: t, jobs: map[core.JobID]*Job{}, saved: map[core.JobID]time.Duration{},
+		asked: map[core.RequestID]core.JobID{}, meter: meter,
+		Stats: Stats{
+			Started: map[core.JobID]core.Time{}, Outcome: map[core.JobID]*core.JobStatus{},
+			Ended: map[core.JobID]core.Time{}, Refused: map[core.JobID]*core.Refusal{},
+			Attempts: map[core.TaskRef]int{}, live: map[taskID]int{},
+		},
+	}
+	c.hosts = []core.ListedHost{{ID: "entry-1", Address: "entry-1", DataCentre: dataCentre, Region: region}}
+	for _, l := range c.listed {
+		c.workers[l.ID] = &fakeWorker{listed: l, incarnation: 1, sequence: 1, running: map[core.TaskRef]*fakeRun{}}
+	}
+	for i, d := range t.Documents {
+		revision := int64(i + 1)
+		c.store.revision = revision
+		key := "documents/" + string(d.Team)
+		c.store.items[key] = core.StoreItem{Key: key, Revision: revision, Value: core.DocumentRecord{
+			Current: core.DocumentVersion{Document: d, Revision: core.Revision(revision)},
+		}}
+	}
+	c.now = at(0).Add(-warmUp)
+	c.tick()
+	c.run(at(0))
+	return c
+}
+
+// Run plays the trace's arrivals and faults up to a time in milliseconds.
+func (c *Cell) Run(untilMS int64) {
+	for i := range c.trace.Jobs {
+		j := &c.trace.Jobs[i]
+		if c.trace.kind(j).Urgency == core.Interactive {
+			continue
+		}
+		c.timers.schedule(at(j.AtMS), func() { c.submit(j) })
+		if j.CancelMS > 0 {
+			c.timers.schedule(at(j.CancelMS), func() { c.step(core.CancelRequested{Request: c.ask(j.ID), Job: j.ID}) })
+		}
+	}
+	for _, f := range c.trace.Faults {
+		c.timers.schedule(at(f.AtMS), func() { c.inject(f) })
+	}
+	c.run(at(untilMS))
+}
+
+// submit posts one job.
+func (c *Cell) submit(j *Job) {
+	c.jobs[j.ID] = j
+	c.step(core.Submitted{Request: c.ask(j.ID), Spec: core.JobSpec{
+		ID: j.ID, Team: j.Team, Kind: j.Kind, Digest: 1, Origin: dataCentre, Submitted: c.now,
+	}})
+}
+
+// ask returns a new request about a job.
+func (c *Cell) ask(id core.JobID) core.RequestID {
+	c.request++
+	c.asked[c.request] = id
+	return c.request
+}
+
+// after runs do after a time.
+func (c *Cell) after(d time.Duration, do func()) { c.timers.schedule(c.now.Add(d), do) }
+
+// tick posts Tick for ever.
+func (c *Cell) tick() {
+	c.after(core.TickPeriod, func() {
+		c.step(core.Tick{})
+		c.tick()
+	})
+}
+
+// step runs the reducer and carries out its effects.
+func (c *Cell) step(body core.EventBody) {
+	e := core.Event{At: c.now, Body: body}
+	var effects []core.Effect
+	if c.meter == nil {
+		effects = c.reducer.Step(e)
+	} else {
+		began := threadTime()
+		effects = c.reducer.Step(e)
+		c.meter(body, effects, threadTime()-began)
+	}
+	for _, f := range effects {
+		c.execute(f)
+	}
+}
+
+// execute carries out one effect.
+func (c *Cell) execute(f core.Effect) {
+	switch e := f.(type) {
+	case core.Resume:
+		c.after(0, func() { c.step(core.Continue{}) })
+	case core.ListHosts:
+		c.after(storeLatency, func() {
+			c.step(core.HostsListed{Workers: c.listed, Hosts: c.hosts})
+		})
+	case core.SyncWorker:
+		c.onSync(e)
+	case core.StartTask:
+		c.onStart(e)
+	case core.SignalTask:
+		c.onSignal(e)
+	case core.Reply:
+		c.onReply(e)
+	default:
+		if answer, ok := c.store.answer(f); ok {
+			c.after(storeLatency, func() { c.step(answer) })
+		}
+	}
+}
+
+// onReply notes an answer and waits for the final one.
+func (c *Cell) onReply(r core.Reply) {
+	id, ok := c.asked[r.Request]
+	if !ok {
+		return
+	}
+	delete(c.asked, r.Request)
+	switch {
+	case r.Refusal != nil:
+		c.Stats.Refused[id] = r.Refusal
+	case r.Status != nil && r.Status.Finished:
+		c.Stats.Outcome[id] = r.Status
+		if _, ok := c.Stats.Ended[id]; !ok {
+			c.Stats.Ended[id] = c.now
+		}
+	case r.Status != nil:
+		request := c.ask(id)
+		c.after(0, func() { c.step(core.StatusRequested{Request: request, Job: id, Wait: true}) })
+	}
+}
+
+// runTime is the true run time of a job. Replicas of services run on.
+func (c *Cell) runTime(id core.JobID) time.Duration {
+	if j := c.jobs[id]; j != nil {
+		return time.Duration(j.RunMS) * time.Millisecond
+	}
+	const always = 1000 * time.Hour
+	return always
+}
+
+// noteStart counts a start at a worker.
+func (c *Cell) noteStart(s core.StartTask) {
+	c.Stats.Tasks++
+	if _, ok := c.Stats.Started[s.Task.Job]; !ok {
+		c.Stats.Started[s.Task.Job] = c.now
+	}
+	id := taskID{s.Task.Job, s.Task.Task}
+	c.Stats.Attempts[core.TaskRef{Job: id.job, Task: id.task}]++
+	c.Stats.live[id]++
+	if c.Stats.live[id] > 1 {
+		c.Stats.Doubled++
+	}
+}
+
+// noteEnd accounts for a run that ended.
+func (c *Cell) noteEnd(ref core.TaskRef, run *fakeRun) {
+	c.Stats.live[taskID{ref.Job, ref.Task}]--
+	c.Stats.Used = c.Stats.Used.Add(run.request.Times(c.now.Sub(run.began).Milliseconds()))
+}
--- /dev/null
+++ b/bench/decision.go
@@ -0,0 +1,187 @@
+package bench
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// The size of the target, from section 1.3 of the design page.
+const (
+	targetWorkers      = 3800
+	targetAccelerated  = 1350 // of 4 accelerators each: 5,400
+	targetTasks        = 29_000
+	targetTeams        = 120
+	smallWorkers       = 48
+	smallTeams         = 3
+	startsPerSecond    = 250
+	serviceShare       = 5 // one in five tasks is a replica
+	decisionFillMS     = 30_000
+	decisionMeasuredMS = 40_000
+)
+
+// decisionTrace is a full cell whose queues are never empty.
+func decisionTrace(workers, accelerated, teams int, seed uint64) *Trace {
+	tasks := targetTasks * workers / targetWorkers
+	rate := float64(startsPerSecond) * float64(workers) / targetWorkers
+	replicas := max(1, tasks/serviceShare/teams)
+	jobs := tasks - replicas*teams
+	mean := time.Duration(float64(jobs) / rate * float64(time.Second))
+	t := &Trace{
+		Name: "decision", Seed: seed, HorizonMS: decisionFillMS + decisionMeasuredMS,
+		Workers: racks(workers, accelerated),
+	}
+	kinds := []core.Kind{
+		kind("batch", core.Background, request(3_000, 8<<10, 0), mean),
+		kind("large", core.Normal, request(6_000, 24<<10, 0), mean),
+		kind("billed", core.Normal, request(4_000, 16<<10, 0), mean),
+		kind("model", core.Normal, request(4_000, 16<<10, 1), mean),
+		kind("small", core.Urgent, request(1_000, 2<<10, 0), mean),
+		kind("replica", core.Urgent, request(2_000, 8<<10, 0), time.Hour),
+	}
+	kinds[2].Idempotent = false
+	quota := t.total()
+	for i := range teams {
+		name := core.TeamName(fmt.Sprintf("team-%03d", i))
+		share := core.Resources{MilliCPU: quota.MilliCPU / int64(teams), MemoryMB: quota.MemoryMB / int64(teams)}
+		t.Documents = append(t.Documents, core.Document{
+			Team: name, Weight: int64(1 + i%3), Quota: share, Kinds: kinds,
+			Services: []core.Service{{Name: "front", Kind: "replica", Replicas: replicas}},
+		})
+	}
+	t.Jobs = decisionJobs(t, jobs, rate, mean)
+	return t
+}
+
+// decisionJobs fills the cell, and then brings as many jobs as end.
+func decisionJobs(t *Trace, fill int, rate float64, mean time.Duration) []Job {
+	const backlog = 1.3 // keeps work of every size waiting
+	rng := generator(t.Seed, 1)
+	weights := []core.KindName{"batch", "batch", "batch", "large", "large", "billed", "model", "small", "small", "small"}
+	n := int(float64(fill) * backlog)
+	more := int(rate * float64(t.HorizonMS) / 1000)
+	jobs := make([]Job, 0, n+more)
+	for i := range n + more {
+		arrive := int64(1000)
+		if i >= n {
+			arrive += int64(float64(i-n) * 1000 / rate)
+		}
+		jobs = append(jobs, Job{
+			ID: core.JobID(fmt.Sprintf("job-%06d", i)), AtMS: arrive,
+			Team: t.Documents[rng.IntN(len(t.Documents))].Team,
+			Kind: weights[rng.IntN(len(weights))], RunMS: runMS(rng, mean),
+		})
+	}
+	return jobs
+}
+
+// decisionCost is what a run of decisionTrace cost.
+type decisionCost struct {
+	perPlacement []time.Duration
+	deciding     time.Duration
+	ticks        time.Duration
+	tickCount    int
+	longestTick  time.Duration
+	all          time.Duration
+	starts       int
+	running      int
+}
+
+// note adds one step. Deciding steps are those of the events that make work
+// ready or capacity free: their whole cost counts as that of the placements,
+// also when they placed nothing.
+func (d *decisionCost) note(body core.EventBody, effects []core.Effect, cost time.Duration) {
+	d.all += cost
+	starts := 0
+	for _, f := range effects {
+		if _, ok := f.(core.StartTask); ok {
+			starts++
+		}
+	}
+	d.starts += starts
+	switch body.(type) {
+	case core.Tick:
+		d.ticks += cost
+		d.tickCount++
+		d.longestTick = max(d.longestTick, cost)
+		return
+	case core.WorkerSynced, core.Submitted, core.StoreAnswered, core.Continue:
+		d.deciding += cost
+	}
+	for range starts {
+		d.perPlacement = append(d.perPlacement, cost/time.Duration(starts))
+	}
+}
+
+// mean is the deciding time for each placement.
+func (d *decisionCost) mean() time.Duration { return d.deciding / time.Duration(max(1, d.starts)) }
+
+// p99 is the 99th percentile over placements.
+func (d *decisionCost) p99() time.Duration {
+	slices.Sort(d.perPlacement)
+	if len(d.perPlacement) == 0 {
+		return 0
+	}
+	return d.perPlacement[len(d.perPlacement)*99/100]
+}
+
+// measureDecision runs a trace and counts costs after the cell is full.
+func measureDecision(t *Trace) *decisionCost {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	d := &decisionCost{}
+	var c *Cell
+	c = NewCell(t, func(body core.EventBody, effects []core.Effect, cost time.Duration) {
+		if c != nil && c.now >= at(decisionFillMS) {
+			d.note(body, effects, cost)
+		}
+	})
+	c.Run(t.HorizonMS)
+	for _, w := range c.workers {
+		d.running += len(w.running)
+	}
+	return d
+}
+
+// decisionRows measures the cost of placements and its growth with the fleet.
+func decisionRows(seed uint64) []Row {
+	const (
+		meanBound, p99Bound = 20.0, 1000.0 // microseconds
+		growthBound         = 2.0
+		shareBound          = 0.043
+	)
+	big := decisionTrace(targetWorkers, targetAccelerated, targetTeams, seed)
+	large := measureDecision(big)
+	// The same number of queues isolates the growth with the fleet.
+	small := measureDecision(decisionTrace(smallWorkers, smallWorkers*targetAccelerated/targetWorkers, targetTeams, seed))
+	fewTeams := measureDecision(decisionTrace(smallWorkers, smallWorkers*targetAccelerated/targetWorkers, smallTeams, seed))
+	first, random := baselineCost(big, firstFit), baselineCost(big, randomFit(generator(seed, 2)))
+	mean := micros(large.mean())
+	return []Row{
+		atMost("placement_decision_mean", mean, "us", meanBound).beside(first),
+		atMost("placement_decision_p99", micros(large.p99()), "us", p99Bound),
+		figure("placement_decision_mean_to_first_fit", mean/first, "ratio"),
+		figure("placement_decision_mean_to_random", mean/random, "ratio").beside(random),
+		atMost("placement_growth", mean/micros(small.mean()), "ratio", growthBound),
+		figure("placement_growth_with_teams", mean/micros(fewTeams.mean()), "ratio"),
+		figure("placement_running_tasks", float64(large.running), "tasks"),
+		figure("tick_mean", micros(large.ticks)/float64(max(1, large.tickCount)), "us"),
+		figure("tick_max", micros(large.longestTick), "us"),
+		atMost("control_share_of_core", large.all.Seconds()/(decisionMeasuredMS/1000), "cores", shareBound),
+	}
+}
+
+// baselineCost is the processor time of a baseline for each placement, in
+// microseconds.
+func baselineCost(t *Trace, pick picker) float64 {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	b := runBaseline(t, pick, decisionFillMS, t.HorizonMS)
+	return micros(b.cost) / float64(max(1, b.placed))
+}
+
+// micros converts to microseconds.
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- /dev/null
+++ b/bench/row.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+)
+
+// Row is one measure with its bound.
+type Row struct {
+	Measure string  `json:"measure"`
+	Value   float64 `json:"value"`
+	Unit    string  `json:"unit"`
+	// Target is the bound of the design page, or nil for a figure without one.
+	Target *float64 `json:"target"`
+	// AtLeast is set when the value must not be below the target.
+	AtLeast  bool     `json:"at_least,omitempty"`
+	Met      bool     `json:"met"`
+	Baseline *float64 `json:"baseline"`
+}
+
+// atMost returns a row whose value must not exceed the target.
+func atMost(measure string, value float64, unit string, target float64) Row {
+	return Row{Measure: measure, Value: value, Unit: unit, Target: &target, Met: value <= target}
+}
+
+// atLeast returns a row whose value must reach the target.
+func atLeast(measure string, value float64, unit string, target float64) Row {
+	return Row{Measure: measure, Value: value, Unit: unit, Target: &target, AtLeast: true, Met: value >= target}
+}
+
+// figure returns a row without a bound. It is always met.
+func figure(measure string, value float64, unit string) Row {
+	return Row{Measure: measure, Value: value, Unit: unit, Met: true}
+}
+
+// beside adds the figure of a baseline.
+func (r Row) beside(baseline float64) Row {
+	r.Baseline = &baseline
+	return r
+}
+
+// String is the row's printed line.
+func (r Row) String() string {
+	return fmt.Sprintf("measure=%s value=%s unit=%s target=%s met=%t baseline=%s",
+		r.Measure, number(&r.Value), r.Unit, number(r.Target), r.Met, number(r.Baseline))
+}
+
+// number formats a figure, or a dash for none.
+func number(v *float64) string {
+	const digits = 5
+	if v == nil {
+		return "-"
+	}
+	return strconv.FormatFloat(*v, 'g', digits, 64)
+}
+
+// Report is the result of a run.
+type Report struct {
+	Commit string `json:"commit"`
+	Seed   uint64 `json:"seed"`
+	Rows   []Row  `json:"rows"`
+}
+
+// Run carries out measures and prints each row as soon as it is known.
+func Run(out io.Writer, measures []Measure, commit string, seed uint64) (*Report, error) {
+	r := &Report{Commit: commit, Seed: seed}
+	for _, m := range measures {
+		for _, row := range m(seed) {
+			r.Rows = append(r.Rows, row)
+			if _, err := fmt.Fprintln(out, row); err != nil {
+				return r, fmt.Errorf("print row: %w", err)
+			}
+		}
+	}
+	return r, nil
+}
+
+// Write writes the report as JSON.
+func (r *Report) Write(path string) error {
+	data, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode report: %w", err)
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return fmt.Errorf("create folder of report: %w", err)
+	}
+	if err := os.WriteFile(path, append(data, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// Measure runs one group of measures and returns its rows.
+type Measure func(seed uint64) []Row
+
+// Quick lists the measures of `make bench-quick`.
+func Quick() []Measure { return []Measure{decisionRows, packingRows, waitRows} }
+
+// All lists every measure.
+func All() []Measure { return append(Quick(), floodRows, urgentStartRows, storeRows) }
--- /dev/null
+++ b/bench/waiting.go
@@ -0,0 +1,179 @@
+package bench
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+const (
+	// floodFromMS and floodUntilMS bound a flood.
+	floodFromMS  = 60_000
+	floodUntilMS = 240_000
+	floodEndMS   = 300_000
+	// floodMean is the run time of the flood's tasks. The cell of 48 workers
+	// starts 384/60 = 6.4 of them a second, so ten times capacity is 64.
+	floodMean = 60 * time.Second
+	floodRate = 64.0
+)
+
+// floodTrace is two teams at under half of the cell's capacity, and a third team
+// that floods the cell with one kind, or that submits nothing if flood is empty.
+func floodTrace(seed uint64, flood core.KindName) *Trace {
+	t := &Trace{Name: "flood", Seed: seed, HorizonMS: floodEndMS, Workers: racks(smallWorkers, 0)}
+	quota := t.total()
+	third := core.Resources{MilliCPU: quota.MilliCPU / 3, MemoryMB: quota.MemoryMB / 3, Slots: quota.Slots / 3}
+	least := kind("least", core.Background, request(4_000, 8<<10, 0), floodMean)
+	least.Preemption = preemptible
+	fixed := kind("fixed", core.Background, request(4_000, 8<<10, 0), floodMean)
+	most := kind("most", core.Urgent, request(4_000, 8<<10, 0), floodMean)
+	normal := kind("normal", core.Normal, request(3_000, 8<<10, 0), floodMean)
+	normal.Preemption = preemptible
+	urgent := kind("urgent", core.Urgent, request(1_000, 2<<10, 0), 20*time.Second)
+	for _, team := range []core.TeamName{"alpha", "beta", "flooder"} {
+		t.Documents = append(t.Documents, core.Document{
+			Team: team, Weight: 1, Quota: third, Kinds: []core.Kind{least, fixed, most, normal, urgent},
+		})
+	}
+	t.Jobs = append(t.Jobs, arrivals{
+		rng: generator(seed, 1), team: "alpha", kind: "urgent", perSecond: 3, mean: 20 * time.Second, untilMS: floodUntilMS,
+	}.draw()...)
+	t.Jobs = append(t.Jobs, arrivals{
+		rng: generator(seed, 2), team: "beta", kind: "normal", perSecond: 1.2, mean: floodMean, untilMS: floodUntilMS,
+	}.draw()...)
+	if flood != "" {
+		t.Jobs = append(t.Jobs, arrivals{
+			rng: generator(seed, 3), team: "flooder", kind: flood, perSecond: floodRate, mean: floodMean,
+			fromMS: floodFromMS, untilMS: floodUntilMS,
+		}.draw()...)
+	}
+	return t
+}
+
+// waits returns the times from submit to start of a team's jobs that arrived
+// during the flood. A job that never started counts as an endless wait.
+func waits(t *Trace, team core.TeamName, started map[core.JobID]core.Time) []time.Duration {
+	var out []time.Duration
+	for i := range t.Jobs {
+		j := &t.Jobs[i]
+		if j.Team != team || j.AtMS < floodFromMS {
+			continue
+		}
+		wait := time.Duration(math.MaxInt64)
+		if s, ok := started[j.ID]; ok {
+			wait = s.Sub(at(j.AtMS))
+		}
+		out = append(out, wait)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// percentile returns a percentile of sorted durations.
+func percentile(sorted []time.Duration, p float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(p/100*float64(len(sorted))))]
+}
+
+// runCell plays a whole trace.
+func runCell(t *Trace) *Cell {
+	c := NewCell(t, nil)
+	c.Run(t.HorizonMS)
+	return c
+}
+
+// waitRows measures the wait of urgent work in a flood of other work.
+func waitRows(seed uint64) []Row {
+	const bound = 1.5
+	calm := floodTrace(seed, "")
+	before := percentile(waits(calm, "alpha", runCell(calm).Stats.Started), 99)
+	calmFirst := percentile(waits(calm, "alpha", runBaseline(calm, firstFit, 0, floodEndMS).started), 99)
+	var rows []Row
+	for _, flood := range []core.KindName{"least", "fixed"} {
+		t := floodTrace(seed, flood)
+		during := percentile(waits(t, "alpha", runCell(t).Stats.Started), 99)
+		first := percentile(waits(t, "alpha", runBaseline(t, firstFit, 0, floodEndMS).started), 99)
+		name := map[core.KindName]string{"least": "urgent_wait_flood_p99_ratio", "fixed": "urgent_wait_flood_not_preemptible_p99_ratio"}[flood]
+		rows = append(rows,
+			atMost(name, during.Seconds()/before.Seconds(), "ratio", bound).
+				beside(first.Seconds()/max(workerLatency, calmFirst).Seconds()),
+			figure(name[:len(name)-len("_ratio")], during.Seconds(), "s").beside(first.Seconds()))
+	}
+	return append(rows, figure("urgent_wait_calm_p99", before.Seconds(), "s").beside(calmFirst.Seconds()))
+}
+
+// completions counts the jobs of other teams that ended well by the end of the
+// flood.
+func completions(t *Trace, ended map[core.JobID]core.Time) float64 {
+	n := 0.0
+	for i := range t.Jobs {
+		j := &t.Jobs[i]
+		if end, ok := ended[j.ID]; ok && j.Team != "flooder" && end <= at(floodUntilMS) {
+			n++
+		}
+	}
+	return n
+}
+
+// succeeded returns when jobs ended with success.
+func (c *Cell) succeeded() map[core.JobID]core.Time {
+	out := map[core.JobID]core.Time{}
+	for id, s := range c.Stats.Outcome {
+		if s.State == core.JobSucceeded {
+			out[id] = c.Stats.Ended[id]
+		}
+	}
+	return out
+}
+
+// floodRows measures what other teams keep during one team's flood.
+func floodRows(seed uint64) []Row {
+	const bound = 0.95
+	calm := floodTrace(seed, "")
+	without := completions(calm, runCell(calm).succeeded())
+	first := completions(calm, runBaseline(calm, firstFit, 0, floodEndMS).ended)
+	var rows []Row
+	for _, f := range []struct {
+		kind core.KindName
+		name string
+	}{{"least", "other_teams_kept_least_urgent_flood"}, {"most", "other_teams_kept_most_urgent_flood"}} {
+		t := floodTrace(seed, f.kind)
+		kept := completions(t, runCell(t).succeeded()) / without
+		baseline := completions(t, runBaseline(t, firstFit, 0, floodEndMS).ended) / first
+		rows = append(rows, atLeast(f.name, kept, "ratio", bound).beside(baseline))
+	}
+	return rows
+}
+
+// urgentStartTrace is a cell that stays full of batch work, and urgent arrivals.
+func urgentStartTrace(seed uint64) *Trace {
+	t := floodTrace(seed, "")
+	t.Name, t.Jobs = "urgent_start", nil
+	rng := generator(seed, 4)
+	const batch = 1500 // about four times what the cell holds
+	for n := range batch {
+		team := t.Documents[n%2+1].Team
+		t.Jobs = append(t.Jobs, Job{
+			ID: core.JobID("batch-" + string(team) + "-" + itoa(n)), AtMS: 0, Team: team, Kind: "least",
+			RunMS: runMS(rng, 10*time.Minute),
+		})
+	}
+	t.Jobs = append(t.Jobs, arrivals{
+		rng: rng, team: "alpha", kind: "urgent", perSecond: 3, mean: 20 * time.Second,
+		fromMS: floodFromMS, untilMS: floodUntilMS,
+	}.draw()...)
+	return t
+}
+
+// urgentStartRows measures the start of urgent work in a cell full of batch.
+func urgentStartRows(seed uint64) []Row {
+	const bound = 4.0
+	t := urgentStartTrace(seed)
+	p99 := percentile(waits(t, "alpha", runCell(t).Stats.Started), 99)
+	first := percentile(waits(t, "alpha", runBaseline(t, firstFit, 0, floodEndMS).started), 99)
+	return []Row{atMost("urgent_start_full_cell_p99", p99.Seconds(), "s", bound).beside(first.Seconds())}
+}
--- /dev/null
+++ b/cmd/banyanrun-bench/main.go
@@ -0,0 +1,110 @@
+// Command banyanrun-bench measures the scheduler against the bounds of the design
+// page. It prints one line a measure and writes the same as JSON.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"runtime/pprof"
+
+	"github.com/jessevdk/go-flags"
+
+	"banyanrun.example/banyanrun/bench"
+)
+
+// settings are the command's flags.
+type settings struct {
+	Quick    bool   `long:"quick" env:"BANYANRUN_BENCH_QUICK" description:"run decision cost, growth, packing and waiting only"`
+	Seed     uint64 `long:"seed" env:"BANYANRUN_BENCH_SEED" default:"1" description:"seed of the generated traces"`
+	Out      string `long:"out" env:"BANYANRUN_BENCH_OUT" default:"out/bench.json" description:"file for the rows as JSON"`
+	Commit   string `long:"commit" env:"BANYANRUN_BENCH_COMMIT" description:"commit to name in the report; by default that of the build"`
+	Profile  string `long:"profile" env:"BANYANRUN_BENCH_PROFILE" description:"file for a processor profile of the run"`
+	Traces   string `long:"traces" env:"BANYANRUN_BENCH_TRACES" description:"write the generated traces of both deployments to this folder and stop"`
+	Examples string `long:"examples" env:"BANYANRUN_BENCH_EXAMPLES" default:"examples" description:"folder of the deployments' documents and topologies, for --traces"`
+}
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+	exitMissed = 3
+)
+
+func main() { os.Exit(run()) }
+
+// run returns the exit code.
+func run() int {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		var wrong *flags.Error
+		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	err := measure(&set)
+	switch {
+	case errors.Is(err, errMissed):
+		fmt.Fprintln(os.Stderr, err)
+		return exitMissed
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
+// errMissed says that a bound was missed.
+var errMissed = errors.New("at least one measure misses its bound")
+
+// measure carries out the run.
+func measure(set *settings) error {
+	if set.Traces != "" {
+		return bench.WriteTraces(set.Examples, set.Traces, set.Seed)
+	}
+	if set.Profile != "" {
+		file, err := os.Create(set.Profile)
+		if err != nil {
+			return fmt.Errorf("create profile: %w", err)
+		}
+		defer file.Close()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return fmt.Errorf("start profile: %w", err)
+		}
+		defer pprof.StopCPUProfile()
+	}
+	measures := bench.All()
+	if set.Quick {
+		measures = bench.Quick()
+	}
+	report, err := bench.Run(os.Stdout, measures, commit(set.Commit), set.Seed)
+	if err != nil {
+		return err
+	}
+	if err := report.Write(set.Out); err != nil {
+		return err
+	}
+	for _, row := range report.Rows {
+		if !row.Met {
+			return errMissed
+		}
+	}
+	return nil
+}
+
+// commit is the one given, or the one that the build recorded.
+func commit(given string) string {
+	if given != "" {
+		return given
+	}
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+	}
+	return "unknown"
+}
