--- a/cmd/banyanrun-bench/main.go
+++ b/cmd/banyanrun-bench/main.go
@@ -16,13 +16,14 @@
 
 // settings are the command's flags.
 type settings struct {
-	Quick    bool   `long:"quick" env:"BANYANRUN_BENCH_QUICK" description:"run decision cost, growth, packing and waiting only"`
-	Seed     uint64 `long:"seed" env:"BANYANRUN_BENCH_SEED" default:"1" description:"seed of the generated traces"`
-	Out      string `long:"out" env:"BANYANRUN_BENCH_OUT" default:"out/bench.json" description:"file for the rows as JSON"`
-	Commit   string `long:"commit" env:"BANYANRUN_BENCH_COMMIT" description:"commit to name in the report; by default that of the build"`
-	Profile  string `long:"profile" env:"BANYANRUN_BENCH_PROFILE" description:"file for a processor profile of the run"`
-	Traces   string `long:"traces" env:"BANYANRUN_BENCH_TRACES" description:"write the generated traces of both deployments to this folder and stop"`
-	Examples string `long:"examples" env:"BANYANRUN_BENCH_EXAMPLES" default:"examples" description:"folder of the deployments' documents and topologies, for --traces"`
+	Quick    bool     `long:"quick" env:"BANYANRUN_BENCH_QUICK" description:"run decision cost, growth, packing and waiting only"`
+	Seed     uint64   `long:"seed" env:"BANYANRUN_BENCH_SEED" default:"1" description:"seed of the generated traces"`
+	Out      string   `long:"out" env:"BANYANRUN_BENCH_OUT" default:"out/bench.json" description:"file for the rows as JSON"`
+	Commit   string   `long:"commit" env:"BANYANRUN_BENCH_COMMIT" description:"commit to name in the report; by default that of the build"`
+	Only     []string `long:"only" env:"BANYANRUN_BENCH_ONLY" env-delim:"," description:"run only this measure: decision, packing, wait, flood, urgent or store; repeatable"`
+	Profile  string   `long:"profile" env:"BANYANRUN_BENCH_PROFILE" description:"file for a processor profile of the run"`
+	Traces   string   `long:"traces" env:"BANYANRUN_BENCH_TRACES" description:"write the generated traces of both deployments to this folder and stop"`
+	Examples string   `long:"examples" env:"BANYANRUN_BENCH_EXAMPLES" default:"examples" description:"folder of the deployments' documents and topologies, for --traces"`
 }
 
 // Exit codes.
@@ -79,6 +80,10 @@
 	if set.Quick {
 		measures = bench.Quick()
 	}
+	measures, err := bench.Only(measures, set.Only)
+	if err != nil {
+		return err
+	}
 	report, err := bench.Run(os.Stdout, measures, commit(set.Commit), set.Seed)
 	if err != nil {
 		return err
