Add package replay and the command banyanrun-replay

Cause: a recording was written but nothing read it. Change: a new reducer steps through a recording; the first difference in the effects is reported byte for byte, with the outcomes that callers were told.

--- /dev/null
+++ b/cmd/banyanrun-replay/main.go
@@ -0,0 +1,79 @@
+// Command banyanrun-replay replays a recording of banyanrun-entry --record and
+// reports the first step whose effects differ.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/replay"
+)
+
+// settings are the command's flags.
+type settings struct {
+	Until int    `long:"until" env:"BANYANRUN_REPLAY_UNTIL" description:"replay this many steps; 0 replays all"`
+	Job   string `long:"job" env:"BANYANRUN_REPLAY_JOB" description:"state the outcome of this job only"`
+	Args  struct {
+		Recording string `positional-arg-name:"recording" description:"file written by banyanrun-entry --record"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Exit codes.
+const (
+	exitFailed    = 1
+	exitUsage     = 2
+	exitDifferent = 3
+)
+
+func main() { os.Exit(run()) }
+
+// run returns the exit code.
+func run() int {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		var wrong *flags.Error
+		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	if set.Until < 0 {
+		fmt.Fprintf(os.Stderr, "setting until is %d; allowed: 0 or more\n", set.Until)
+		return exitUsage
+	}
+	file, err := os.Open(set.Args.Recording)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer file.Close()
+	result, err := replay.Run(file, replay.Options{Until: set.Until, Job: core.JobID(set.Job)})
+	if result != nil {
+		printResult(result)
+	}
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	case result.Difference != nil:
+		return exitDifferent
+	}
+	return 0
+}
+
+// printResult writes the outcomes and the first difference.
+func printResult(r *replay.Result) {
+	for _, o := range r.Outcomes {
+		fmt.Printf("job=%s state=%s reason=%s step=%d\n", o.Job, o.State, o.Reason, o.Step)
+	}
+	if d := r.Difference; d != nil {
+		fmt.Printf("difference step=%d at=%d event=%s\nrecorded %s\nreplayed %s\n",
+			d.Step, d.At, d.Event, d.Recorded, d.Replayed)
+	}
+	fmt.Printf("host=%s incarnation=%d steps=%d torn=%t equal=%t\n",
+		r.HostID, r.Incarnation, r.Steps, r.Torn, r.Difference == nil)
+}
--- /dev/null
+++ b/replay/replay.go
@@ -0,0 +1,198 @@
+// Package replay steps a new reducer through a recording and compares its effects
+// with the recorded ones, byte for byte.
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// Options restrict a replay.
+type Options struct {
+	// Until is the number of steps to replay, or zero for all.
+	Until int
+	// Job restricts the outcomes to one job.
+	Job core.JobID
+}
+
+// Result is what a replay found.
+type Result struct {
+	Steps       int
+	Difference  *Difference
+	Outcomes    []Outcome
+	HostID      core.HostID
+	Incarnation uint64
+	// Torn is set when the last line of the recording is not whole, as after
+	// the recording process was killed.
+	Torn bool
+}
+
+// Difference is the first step whose effects are not the recorded ones.
+type Difference struct {
+	// Step counts from 1.
+	Step  int
+	At    core.Time
+	Event string
+	// Recorded and Replayed are the encoded effects.
+	Recorded, Replayed []byte
+}
+
+// Outcome is the last state of a job that a caller was told in the recording.
+type Outcome struct {
+	Job   core.JobID
+	State string
+	// Step is when the caller was told.
+	Step int
+	// Reason is that of a refusal, or empty.
+	Reason core.Reason
+}
+
+// maxLine bounds one step of a recording: a journal load of 64 groups of 256 KB.
+const maxLine = 64 << 20
+
+// Run replays a recording up to the first difference.
+func Run(in io.Reader, o Options) (*Result, error) {
+	lines := bufio.NewReader(in)
+	first, _, err := line(lines)
+	if err != nil {
+		return nil, fmt.Errorf("read header: %w", err)
+	}
+	var header wire.RecordingHeader
+	if err := json.Unmarshal(first, &header); err != nil {
+		return nil, fmt.Errorf("decode header: %w", err)
+	}
+	if header.Version != wire.RecordingVersion {
+		return nil, fmt.Errorf("recording has version %d; this program reads %d", header.Version, wire.RecordingVersion)
+	}
+	p := player{
+		reducer: core.New(header.Config), jobs: map[core.RequestID]core.JobID{},
+		outcomes: map[core.JobID]Outcome{}, only: o.Job,
+		result: &Result{HostID: header.Config.Host, Incarnation: header.Config.Incarnation},
+	}
+	err = p.play(lines, o.Until)
+	p.result.Outcomes = slices.SortedFunc(maps.Values(p.outcomes), func(a, b Outcome) int { return a.Step - b.Step })
+	return p.result, err
+}
+
+// line reads one line. whole is false for a last line without its end.
+func line(in *bufio.Reader) (data []byte, whole bool, err error) {
+	for {
+		part, err := in.ReadSlice('\n')
+		data = append(data, part...)
+		switch {
+		case err == nil:
+			return data, true, nil
+		case errors.Is(err, io.EOF) && len(data) > 0:
+			return data, false, nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return data, false, err
+		case len(data) > maxLine:
+			return data, false, fmt.Errorf("a line exceeds %d bytes", maxLine)
+		}
+	}
+}
+
+// player is a replay in progress.
+type player struct {
+	reducer  *core.Reducer
+	jobs     map[core.RequestID]core.JobID
+	outcomes map[core.JobID]Outcome
+	only     core.JobID
+	result   *Result
+}
+
+// play replays steps until the end, the limit or the first difference.
+func (p *player) play(in *bufio.Reader, until int) error {
+	for until == 0 || p.result.Steps < until {
+		data, whole, err := line(in)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("read step %d: %w", p.result.Steps+1, err)
+		}
+		if !whole && !json.Valid(data) {
+			p.result.Torn = true
+			return nil
+		}
+		if err := p.step(data); err != nil {
+			return fmt.Errorf("step %d: %w", p.result.Steps+1, err)
+		}
+		if p.result.Difference != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// step replays one step.
+func (p *player) step(data []byte) error {
+	var step wire.RecordedStep
+	if err := json.Unmarshal(data, &step); err != nil {
+		return fmt.Errorf("decode: %w", err)
+	}
+	event, err := step.DecodeEvent()
+	if err != nil {
+		return err
+	}
+	effects := p.reducer.Step(event)
+	encoded, err := wire.EncodeEffects(effects)
+	if err != nil {
+		return fmt.Errorf("encode effects: %w", err)
+	}
+	p.result.Steps++
+	if !bytes.Equal(encoded, step.Effects) {
+		p.result.Difference = &Difference{
+			Step: p.result.Steps, At: step.At, Event: step.Event.Type,
+			Recorded: step.Effects, Replayed: encoded,
+		}
+		return nil
+	}
+	p.note(event.Body, effects)
+	return nil
+}
+
+// note keeps what callers were told about jobs.
+func (p *player) note(body core.EventBody, effects []core.Effect) {
+	switch b := body.(type) {
+	case core.Submitted:
+		p.jobs[b.Request] = b.Spec.ID
+	case core.CancelRequested:
+		p.jobs[b.Request] = b.Job
+	case core.StatusRequested:
+		p.jobs[b.Request] = b.Job
+	}
+	for _, f := range effects {
+		reply, ok := f.(core.Reply)
+		if !ok {
+			continue
+		}
+		id, known := p.jobs[reply.Request]
+		delete(p.jobs, reply.Request)
+		if !known || p.only != "" && id != p.only {
+			continue
+		}
+		o := Outcome{Job: id, Step: p.result.Steps}
+		switch {
+		case reply.Status != nil:
+			o.State = reply.Status.State.String()
+			if reply.Status.Refusal != nil {
+				o.Reason = reply.Status.Refusal.Reason
+			}
+		case reply.Refusal != nil:
+			o.State, o.Reason = core.JobRefused.String(), reply.Refusal.Reason
+		default:
+			continue
+		}
+		p.outcomes[id] = o
+	}
+}
