--- a/bench/generate.go
+++ b/bench/generate.go
@@ -1,4 +1,221 @@
 package bench
 
-// WriteTraces is set below.
-func WriteTraces(examples, folder string, seed uint64) error { return nil }
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/document"
+)
+
+// Lengths and rates of the generated traces. They keep the files small: an
+// ordinary day is its busiest two hours, and a flood lasts ten minutes.
+const (
+	ordinaryMS      = 2 * 3600 * 1000
+	ordinaryJobs    = 150
+	floodTraceMS    = 3600 * 1000
+	floodTraceJobs  = 80
+	floodingJobs    = 300
+	floodBeginsMS   = 600_000
+	floodLastsMS    = 600_000
+	drainTraceMS    = 4 * 3600 * 1000
+	failingWorkers  = 2
+	cancelledShare  = 3  // one in three flooding jobs is cancelled
+	neverFinishes   = 40 // one in forty jobs fails everywhere
+	declaredSpread  = 2  // true run times are up to twice the declared ones
+	callsPerMinute  = 2
+	callRunMS       = 40
+	traceDataCentre = 0
+)
+
+// topology is the form of the examples' topology files.
+type topology struct {
+	DataCentres []struct {
+		Racks          int `json:"racks"`
+		WorkersPerRack int `json:"workers_per_rack"`
+		Capacity       struct {
+			MilliCPU     int64 `json:"milli_cpu"`
+			MemoryMB     int64 `json:"memory_mb"`
+			Accelerators int64 `json:"accelerators"`
+			Slots        int64 `json:"slots"`
+			Connections  int64 `json:"connections"`
+		} `json:"capacity"`
+	} `json:"data_centres"`
+}
+
+// WriteTraces writes two traces for each deployment below examples to folder.
+func WriteTraces(examples, folder string, seed uint64) error {
+	found, err := filepath.Glob(filepath.Join(examples, "*", "document.json"))
+	if err != nil || len(found) == 0 {
+		return fmt.Errorf("folder %s has no deployment with a document.json (%v)", examples, err)
+	}
+	for _, path := range found {
+		base, err := deployment(filepath.Dir(path), seed)
+		if err != nil {
+			return err
+		}
+		for _, t := range []*Trace{ordinary(base), flooded(base)} {
+			data, err := t.Encode()
+			if err != nil {
+				return err
+			}
+			if err := os.WriteFile(filepath.Join(folder, t.Name+".json"), data, 0o644); err != nil {
+				return fmt.Errorf("write trace: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+// deployment reads the document and the first data centre of a deployment. A
+// second team with the same kinds is the one that floods.
+func deployment(folder string, seed uint64) (*Trace, error) {
+	text, err := os.ReadFile(filepath.Join(folder, "document.json"))
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	doc, err := document.Decode(text)
+	if err != nil {
+		return nil, fmt.Errorf("decode document of %s: %w", folder, err)
+	}
+	text, err = os.ReadFile(filepath.Join(folder, "topology.json"))
+	if err != nil {
+		return nil, fmt.Errorf("read topology: %w", err)
+	}
+	var top topology
+	if err := json.Unmarshal(text, &top); err != nil || len(top.DataCentres) <= traceDataCentre {
+		return nil, fmt.Errorf("topology of %s: %d data centres (%v)", folder, len(top.DataCentres), err)
+	}
+	dc := top.DataCentres[traceDataCentre]
+	t := &Trace{Name: filepath.Base(folder), Seed: seed}
+	for n := range dc.Racks {
+		t.Workers = append(t.Workers, WorkerGroup{
+			Rack: fmt.Sprintf("rack-%d", n+1), Count: dc.WorkersPerRack, Capacity: core.Resources(dc.Capacity),
+		})
+	}
+	doc.Services = nil
+	doc.Kinds = slices.DeleteFunc(doc.Kinds, func(k core.Kind) bool { return k.RunTime > k.Deadline/10 && k.RunTime >= 24*time.Hour })
+	second := *doc
+	second.Team = doc.Team + "-flood"
+	t.Documents = []core.Document{*doc, second}
+	return t, nil
+}
+
+// ordinary is a calm day: few jobs, some of which can never succeed.
+func ordinary(base *Trace) *Trace {
+	t := *base
+	t.Name, t.HorizonMS = base.Name+"-ordinary", drainTraceMS
+	rng := generator(base.Seed, 1)
+	for n := range ordinaryJobs {
+		t.Jobs = append(t.Jobs, t.drawJob(rng, n, 0, ordinaryMS))
+	}
+	for n := range callsPerMinute * 60 {
+		if j, ok := t.drawCall(rng, n, ordinaryMS); ok {
+			t.Jobs = append(t.Jobs, j)
+		}
+	}
+	t.sort()
+	return &t
+}
+
+// flooded adds the second team's flood, of which a third is cancelled at once,
+// and workers that fail everything for a while.
+func flooded(base *Trace) *Trace {
+	t := *base
+	t.Name, t.HorizonMS = base.Name+"-flood", drainTraceMS
+	rng := generator(base.Seed, 2)
+	for n := range floodTraceJobs {
+		j := t.drawJob(rng, n, 0, floodTraceMS)
+		t.allowFaults(&j)
+		t.Jobs = append(t.Jobs, j)
+	}
+	least := t.leastUrgent()
+	for n := range floodingJobs {
+		j := Job{
+			ID: core.JobID(fmt.Sprintf("flood-%d", n)), Team: t.Documents[1].Team, Kind: least.Name,
+			AtMS: floodBeginsMS + rng.Int64N(floodLastsMS), RunMS: t.trueRun(rng, least) / 10,
+		}
+		t.allowFaults(&j)
+		if n%cancelledShare == 0 {
+			j.CancelMS = floodBeginsMS + floodLastsMS + 1000
+			j.Outcomes = append(j.Outcomes, core.JobSucceeded, core.JobCancelled)
+		}
+		t.Jobs = append(t.Jobs, j)
+	}
+	for n := range failingWorkers {
+		t.Faults = append(t.Faults, Fault{
+			AtMS: floodBeginsMS, Worker: core.WorkerID(fmt.Sprintf("%s-%d", t.Workers[n%len(t.Workers)].Rack, n+1)),
+			Kind: FaultFailAll, UntilMS: floodBeginsMS + floodLastsMS,
+		})
+	}
+	t.sort()
+	return &t
+}
+
+// drawJob draws a job of a kind that is not interactive.
+func (t *Trace) drawJob(rng *rand.Rand, n int, fromMS, lengthMS int64) Job {
+	doc := &t.Documents[0]
+	k := &doc.Kinds[rng.IntN(len(doc.Kinds))]
+	for k.Urgency == core.Interactive {
+		k = &doc.Kinds[rng.IntN(len(doc.Kinds))]
+	}
+	j := Job{
+		ID: core.JobID(fmt.Sprintf("job-%d", n)), AtMS: fromMS + rng.Int64N(lengthMS),
+		Team: doc.Team, Kind: k.Name, RunMS: t.trueRun(rng, k),
+	}
+	if rng.IntN(neverFinishes) == 0 {
+		j.Fails, j.Outcomes = true, []core.JobState{core.JobFailed}
+	}
+	return j
+}
+
+// drawCall draws a call of the first interactive kind, if there is one. The
+// bench's cell leaves calls out; the load tool makes them.
+func (t *Trace) drawCall(rng *rand.Rand, n int, lengthMS int64) (Job, bool) {
+	doc := &t.Documents[0]
+	for i := range doc.Kinds {
+		if doc.Kinds[i].Urgency == core.Interactive {
+			return Job{
+				ID: core.JobID(fmt.Sprintf("call-%d", n)), AtMS: rng.Int64N(lengthMS),
+				Team: doc.Team, Kind: doc.Kinds[i].Name, RunMS: callRunMS,
+			}, true
+		}
+	}
+	return Job{}, false
+}
+
+// trueRun draws a run time from a tenth of the declared one to twice of it.
+func (t *Trace) trueRun(rng *rand.Rand, k *core.Kind) int64 {
+	declared := k.RunTime.Milliseconds()
+	return declared/10 + rng.Int64N(declared*declaredSpread)
+}
+
+// allowFaults states the outcomes of a job that may meet a failing worker: only
+// one that is not idempotent may fail by it.
+func (t *Trace) allowFaults(j *Job) {
+	if k := t.kind(j); !k.Idempotent && len(j.Outcomes) == 0 {
+		j.Outcomes = []core.JobState{core.JobSucceeded, core.JobFailed}
+	}
+}
+
+// leastUrgent returns the least urgent kind that is not a gang.
+func (t *Trace) leastUrgent() *core.Kind {
+	var least *core.Kind
+	for i := range t.Documents[0].Kinds {
+		k := &t.Documents[0].Kinds[i]
+		if k.GangSize <= 1 && (least == nil || k.Urgency > least.Urgency) {
+			least = k
+		}
+	}
+	return least
+}
+
+// sort orders the jobs by arrival.
+func (t *Trace) sort() {
+	slices.SortStableFunc(t.Jobs, func(a, b Job) int { return int(a.AtMS - b.AtMS) })
+}
--- /dev/null
+++ b/bench/trace_test.go
@@ -0,0 +1,74 @@
+package bench
+
+import (
+	"path/filepath"
+	"testing"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// Each committed trace must end with the stated outcomes. A job without a final
+// outcome, a task in two places, a worker given more than it has, or an attempt
+// too many of a task that is not idempotent is a broken guarantee.
+func TestTracesEndWithTheirStatedOutcomes(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(paths) < 4 {
+		t.Fatalf("%d traces, error %v; want two for each deployment", len(paths), err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			trace, err := Load(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := runCell(trace)
+			if c.Stats.OverAssigned != 0 || c.Stats.Doubled != 0 {
+				t.Errorf("%d starts beyond capacity, %d doubled; want none", c.Stats.OverAssigned, c.Stats.Doubled)
+			}
+			for i := range trace.Jobs {
+				if j := &trace.Jobs[i]; trace.kind(j).Urgency != core.Interactive {
+					checkOutcome(t, c, j)
+				}
+			}
+		})
+	}
+}
+
+// checkOutcome compares what became of a job with what the trace states.
+func checkOutcome(t *testing.T, c *Cell, j *Job) {
+	t.Helper()
+	s := c.Stats.Outcome[j.ID]
+	if s == nil {
+		t.Errorf("job %s has no final outcome; refusal %v", j.ID, c.Stats.Refused[j.ID])
+		return
+	}
+	if !j.Allows(s.State) {
+		t.Errorf("job %s (%s) ended as %s (%v); allowed %v", j.ID, j.Kind, s.State, s.Refusal, j.Outcomes)
+	}
+	attempts := c.Stats.Attempts[core.TaskRef{Job: j.ID}]
+	if s.Verdict == core.NotRun && attempts > 0 {
+		t.Errorf("job %s has verdict not_run but started %d times", j.ID, attempts)
+	}
+	k := c.trace.kind(j)
+	if !k.Idempotent && !k.Preemption.Checkpoint && attempts > 1 {
+		t.Errorf("job %s is not idempotent but started %d times", j.ID, attempts)
+	}
+}
+
+// The same seed must give the same trace and the same run, or no figure could be
+// compared with an earlier one.
+func TestCellRepeatsItself(t *testing.T) {
+	trace := centreTrace(7)
+	trace.HorizonMS = 5000
+	a, b := runCell(trace), runCell(centreTrace(7).cut(5000))
+	if a.Stats.Tasks == 0 || a.Stats.Tasks != b.Stats.Tasks || a.store.writes != b.store.writes {
+		t.Fatalf("%d and %d starts, %d and %d writes; want equal and above zero",
+			a.Stats.Tasks, b.Stats.Tasks, a.store.writes, b.store.writes)
+	}
+}
+
+// cut shortens a trace.
+func (t *Trace) cut(horizonMS int64) *Trace {
+	t.HorizonMS = horizonMS
+	return t
+}
