--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,11 @@
 	go vet ./...
 	go tool staticcheck ./...
 
+bench: ## run every measure (under ten minutes)
+	go run ./cmd/banyanrun-bench --commit "$$(git rev-parse HEAD)"
+
+bench-quick: ## measure decision cost, growth, packing and waiting (under 45 s)
+	go run ./cmd/banyanrun-bench --quick --commit "$$(git rev-parse HEAD)"
+
 clean: ## remove build results
 	rm -rf $(BIN) out
--- a/bench/generate.go
+++ b/bench/generate.go
@@ -31,6 +31,8 @@
 	callsPerMinute  = 2
 	callRunMS       = 40
 	traceDataCentre = 0
+	// longRunning is the run time from which a kind is that of a service.
+	longRunning = 12 * time.Hour
 )
 
 // topology is the form of the examples' topology files.
@@ -99,7 +101,7 @@
 		})
 	}
 	doc.Services = nil
-	doc.Kinds = slices.DeleteFunc(doc.Kinds, func(k core.Kind) bool { return k.RunTime > k.Deadline/10 && k.RunTime >= 24*time.Hour })
+	doc.Kinds = slices.DeleteFunc(doc.Kinds, func(k core.Kind) bool { return k.RunTime >= longRunning })
 	second := *doc
 	second.Team = doc.Team + "-flood"
 	t.Documents = []core.Document{*doc, second}
