--- /dev/null
+++ b/cmd/banyanrun-load/main.go
@@ -0,0 +1,88 @@
+// Command banyanrun-load plays a trace against running entry hosts.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"banyanrun.example/banyanrun/bench"
+	"banyanrun.example/banyanrun/load"
+)
+
+// settings are the command's flags.
+type settings struct {
+	Trace      string        `long:"trace" env:"BANYANRUN_LOAD_TRACE" required:"yes" description:"trace file"`
+	Hosts      []string      `long:"host" env:"BANYANRUN_LOAD_HOSTS" env-delim:"," default:"127.0.0.1:7600" description:"ip:port of an entry host; repeatable"`
+	Admin      string        `long:"ledger" env:"BANYANRUN_LOAD_LEDGER" description:"ip:port of the stand-in's administration, for lost and doubled"`
+	Speed      float64       `long:"speed" env:"BANYANRUN_LOAD_SPEED" default:"60" description:"divides the arrival and run times of the trace"`
+	Prefix     string        `long:"prefix" env:"BANYANRUN_LOAD_PREFIX" description:"prefix of the ids; by default the start time"`
+	Settle     time.Duration `long:"settle" env:"BANYANRUN_LOAD_SETTLE" default:"1m" description:"wait for answers after the last arrival"`
+	MaxOpen    int           `long:"max-open" env:"BANYANRUN_LOAD_MAX_OPEN" default:"2000" description:"most requests in progress"`
+	Picture    []string      `long:"picture" env:"BANYANRUN_LOAD_PICTURE" env-delim:"," description:"SVG or PNG file for the picture; repeatable"`
+	FloodFrom  time.Duration `long:"flood-from" env:"BANYANRUN_LOAD_FLOOD_FROM" description:"start of the flood in the run, to mark it"`
+	FloodUntil time.Duration `long:"flood-until" env:"BANYANRUN_LOAD_FLOOD_UNTIL" description:"end of the flood in the run"`
+}
+
+func main() { os.Exit(run()) }
+
+// run returns the exit code.
+func run() int {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		var wrong *flags.Error
+		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	if err := play(&set); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
+
+// play carries out the run and prints its report.
+func play(set *settings) error {
+	trace, err := bench.Load(set.Trace)
+	if err != nil {
+		return err
+	}
+	if set.Prefix == "" {
+		set.Prefix = fmt.Sprintf("load-%x-", time.Now().UnixNano())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := load.Run(ctx, load.Config{
+		Trace: trace, Hosts: set.Hosts, Admin: set.Admin, Speed: set.Speed, Prefix: set.Prefix,
+		Settle: set.Settle, MaxOpen: set.MaxOpen, Progress: progress,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(os.Stderr)
+	if err := json.NewEncoder(os.Stdout).Encode(report); err != nil {
+		return fmt.Errorf("print report: %w", err)
+	}
+	for _, path := range set.Picture {
+		if err := load.Draw(path, trace.Name, report.Points, set.FloodFrom, set.FloodUntil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// progress rewrites the line of progress.
+func progress(l load.Line) {
+	fmt.Fprintf(os.Stderr, "\r%6.0fs due %d accepted %d completed %d failed %d not_run %d may_have_run %d open %d p50 %s p99 %s ",
+		l.At.Seconds(), l.Due, l.Accepted, l.Completed, l.Failed, l.NotRun, l.MayHaveRun, l.InFlight,
+		l.P50.Round(time.Millisecond), l.P99.Round(time.Millisecond))
+}
