--- a/load/accounts.go
+++ b/load/accounts.go
@@ -56,6 +56,7 @@
 const (
 	Completed  Outcome = "completed"
 	Failed     Outcome = "failed"
+	Cancelled  Outcome = "cancelled"
 	NotRun     Outcome = "not_run"
 	MayHaveRun Outcome = "may_have_run"
 	Unanswered Outcome = "unanswered"
@@ -72,10 +73,10 @@
 
 // Line is the state of a run.
 type Line struct {
-	At                                       time.Duration
-	Due, Accepted, Completed, Failed         int
-	NotRun, MayHaveRun, Unanswered, InFlight int
-	P50, P99                                 time.Duration
+	At                                          time.Duration
+	Due, Accepted, Completed, Failed, Cancelled int
+	NotRun, MayHaveRun, Unanswered, InFlight    int
+	P50, P99                                    time.Duration
 }
 
 func (Progress) effect() {}
@@ -147,6 +148,8 @@
 		a.points[name] = append(a.points[name], Point{arrival.At, took})
 	case Failed:
 		a.line.Failed++
+	case Cancelled:
+		a.line.Cancelled++
 	case NotRun:
 		a.line.NotRun++
 	case MayHaveRun:
--- a/load/run.go
+++ b/load/run.go
@@ -215,6 +215,8 @@
 	switch {
 	case s.State == core.JobSucceeded:
 		return Completed
+	case s.State == core.JobCancelled:
+		return Cancelled
 	case s.Verdict == core.NotRun:
 		return NotRun
 	case s.Verdict == core.MayHaveRun:
