--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -41,7 +41,7 @@
 	pick  picker
 	free  []core.Resources
 	trace *Trace
-	queue []*Job
+	queue []waitingJob
 	// started and ended are in the units of Stats.
 	started map[core.JobID]core.Time
 	ended   map[core.JobID]core.Time
@@ -55,6 +55,12 @@
 	pending bool
 }
 
+// waitingJob is a job with what it needs.
+type waitingJob struct {
+	job  *Job
+	need core.Resources
+}
+
 // lookahead bounds the jobs that one pass looks at.
 const lookahead = 512
 
@@ -71,11 +77,13 @@
 	b.placeServices()
 	for i := range t.Jobs {
 		j := &t.Jobs[i]
-		if t.kind(j).Urgency == core.Interactive {
+		k := t.kind(j)
+		if k.Urgency == core.Interactive {
 			continue
 		}
+		need := k.Request
 		b.schedule(at(j.AtMS), func() {
-			b.queue = append(b.queue, j)
+			b.queue = append(b.queue, waitingJob{j, need})
 			b.passSoon()
 		})
 	}
@@ -118,22 +126,24 @@
 	began := threadTime()
 	before := b.placed
 	failed := map[core.Resources]bool{}
-	kept := b.queue[:0]
-	for i, j := range b.queue {
-		kind := b.trace.kind(j)
-		if i >= lookahead || failed[kind.Request] {
-			kept = append(kept, j)
-			continue
+	kept := make([]waitingJob, 0, min(len(b.queue), lookahead))
+	ahead := b.queue[:min(len(b.queue), lookahead)]
+	for _, q := range ahead {
+		w := -1
+		if !failed[q.need] {
+			w = b.pick(b.free, q.need)
 		}
-		w := b.pick(b.free, kind.Request)
 		if w < 0 {
-			failed[kind.Request] = true
-			kept = append(kept, j)
+			failed[q.need] = true
+			kept = append(kept, q)
 			continue
 		}
-		b.start(j, w, kind.Request)
+		b.start(q.job, w, q.need)
 	}
-	b.queue = kept
+	// What was kept moves up to what was not looked at.
+	rest := b.queue[len(ahead)-len(kept):]
+	copy(rest, kept)
+	b.queue = rest
 	if b.now >= b.from && b.placed > before {
 		b.cost += threadTime() - began
 	} else if b.now < b.from {
--- a/load/run.go
+++ b/load/run.go
@@ -182,10 +182,16 @@
 		return
 	}
 	r.loop.Post(ctx, Event{At: r.since(), Body: Accepted{a.ID}})
+	var cancelling conc.WaitGroup
+	defer cancelling.Wait()
+	waiting, answered := context.WithCancel(ctx)
+	defer answered()
 	if a.CancelAt > 0 {
-		if pause(ctx, a.CancelAt-r.since()) {
-			r.send(ctx, http.MethodDelete, wire.PathJobs+"/"+string(a.ID), nil, a.ID)
-		}
+		cancelling.Go(func() {
+			if pause(waiting, a.CancelAt-r.since()) {
+				r.send(waiting, http.MethodDelete, wire.PathJobs+"/"+string(a.ID), nil, a.ID)
+			}
+		})
 	}
 	r.await(ctx, a)
 }
