--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,12 @@
 serve: build ## serve an embedded daemon on 127.0.0.1:7600 until interrupted
 	$(BIN)/banyanrun-entry --embedded --data-centre sask-regina
 
+bench: ## run every measure (under ten minutes)
+	go run ./cmd/banyanrun-bench --commit "$$(git rev-parse HEAD)"
+
+bench-quick: ## measure decision cost, growth, packing and waiting (under 45 s)
+	go run ./cmd/banyanrun-bench --quick --commit "$$(git rev-parse HEAD)"
+
 clean: ## remove build results
 	rm -rf $(BIN) out
 
