End the hosts of an integration test that is ended from outside

Test binaries that were killed left 21 entry daemons running. The kernel now ends them with their parent.

--- a/integration/cluster/host.go
+++ b/integration/cluster/host.go
@@ -92,6 +92,8 @@
 	// The proxies carry plain TCP, and who may do what is tested elsewhere.
 	cmd.Env = append(os.Environ(), "BANYANRUN_INSECURE=true")
 	cmd.Stderr = log
+	// The host must not outlive a test that is ended from outside.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		c.T.Fatalf("start host %s: %v", h.ID, err)
 	}
