--- a/core/grants.go
+++ b/core/grants.go
@@ -83,6 +83,9 @@
 type grantTable struct {
 	hosts []*hostGrants
 	next  Time
+	// version is the last that any host was given. Versions are not used
+	// again, since a host that was forgotten may return with an old one.
+	version uint64
 	// local is what the traffic side of this host has in force.
 	local      []Grant
 	localEpoch Epoch
@@ -183,7 +186,8 @@
 		}
 	}
 	if h.changed {
-		h.version++
+		r.grants.version++
+		h.version = r.grants.version
 		h.changed = false
 	}
 }
@@ -289,7 +293,7 @@
 	if e.target == target {
 		return
 	}
-	e.target, e.version = target, h.version+1
+	e.target, e.version = target, r.grants.version+1
 	h.changed = true
 	r.setHeld(e, max(e.held, target))
 }
@@ -375,13 +379,13 @@
 	)
 }
 
-// forgetWorker drops the grants on a lost worker.
-func (g *grantTable) forgetWorker(r *Reducer, w *worker) {
+// withdrawFrom ends the grants on a worker that is lost. What they hold returns
+// when the hosts confirm that they no longer use them.
+func (g *grantTable) withdrawFrom(r *Reducer, w *worker) {
 	for _, h := range g.hosts {
 		for _, e := range h.entries {
 			if e.worker == w.id {
 				r.setTarget(h, e, 0)
-				r.setHeld(e, 0)
 			}
 		}
 	}
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -120,7 +120,7 @@
 	if j.state.Final() || !j.hasTaskIn(taskWaiting) {
 		return
 	}
-	if j.cancelled && !j.runsSomewhere() {
+	if (j.cancelled || r.now >= j.deadline()) && !j.runsSomewhere() {
 		r.endUnstarted(j)
 		return
 	}
@@ -146,6 +146,7 @@
 
 // onTaskReport applies what a worker says about one task.
 func (r *Reducer) onTaskReport(w *worker, rep *TaskReport) {
+	r.noteAttempt(rep.Task)
 	j, t := r.findTask(rep.Task)
 	if t == nil || t.state == taskDone || (t.holdsCapacity() && t.worker != w.id) {
 		r.onOrphanReport(w, rep)
@@ -192,40 +193,56 @@
 	}
 }
 
+// noteAttempt remembers the highest attempt of a task that any worker has in its
+// ledger. A worker starts an attempt only once, so the next one must be higher,
+// also if it was an earlier owner that used the number.
+func (r *Reducer) noteAttempt(ref TaskRef) {
+	j := r.jobs.get(ref.Job)
+	if j == nil || ref.Task < 0 || ref.Task >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[ref.Task]
+	t.highest = max(t.highest, ref.Attempt)
+}
+
 // adoptFromReport raises the attempt of a restored task to the one that a worker
-// reports. An owner that died may have used attempts that are in no record, and
-// a worker does not start an attempt again that is in its ledger. A task that
-// runs or has succeeded is taken over; one that ended without success is not
-// queued yet, since a later attempt may run on another worker.
+// has in its ledger. An owner that died may have used attempts that are in no
+// record.
 func (r *Reducer) adoptFromReport(w *worker, rep *TaskReport) bool {
 	j := r.jobs.get(rep.Task.Job)
-	if j == nil || rep.Task.Task >= len(j.tasks) {
+	if j == nil || j.state != JobSettling || rep.Task.Task >= len(j.tasks) {
 		return false
 	}
 	t := &j.tasks[rep.Task.Task]
 	if t.holdsCapacity() || rep.Task.Attempt <= t.attempt || t.state == taskDone {
 		return false
 	}
-	if rep.State != ReportedRunning {
-		t.attempt = rep.Task.Attempt
-	}
-	if j.state != JobSettling || (rep.State != ReportedRunning && rep.State != ReportedSucceeded) {
-		return false
-	}
 	t.attempt = rep.Task.Attempt
-	t.state = taskStarting
-	r.fleet.assign(w, j, t, rep.Requested)
-	if rep.State == ReportedSucceeded {
-		r.taskEnded(w, j, t, rep)
-		return true
+	j.began = true
+	switch rep.State {
+	case ReportedRunning:
+		t.state = taskStarting
+		r.fleet.assign(w, j, t, rep.Requested)
+		r.taskStarted(j, t)
+	case ReportedSucceeded:
+		t.state = taskDone
+		j.result = rep.Result
+		r.endIfComplete(j)
+	case ReportedFailed:
+		t.failedOn = append(t.failedOn, w.id)
+		j.failures++
+	default:
+		if rep.Checkpoint != "" {
+			t.checkpoint = rep.Checkpoint
+		}
 	}
-	r.taskStarted(j, t)
 	return true
 }
 
 // taskEnded handles the end of an attempt.
 func (r *Reducer) taskEnded(w *worker, j *job, t *task, rep *TaskReport) {
 	wasStopping := t.stopping
+	j.began = true
 	r.releaseTask(j, t, taskWaiting)
 	r.kinds.noteEnd(j, rep)
 	switch rep.State {
@@ -280,13 +297,17 @@
 	r.jobs.note(j, r.now, state.String(), "")
 	if j.journaled {
 		r.appendRecord(j.finishedRecord())
+		// A success stands in the worker's ledger, where a successor finds it.
+		j.unconfirmed = state != JobSucceeded
 	}
 	reason := Reason(state.String())
 	if ref != nil {
 		reason = ref.Reason
 	}
 	r.count(MetricFinished, reason, j.spec.Team, j.spec.Kind)
-	r.answerWaiters(j)
+	if !j.unconfirmed {
+		r.answerWaiters(j)
+	}
 	r.jobs.schedule(j)
 }
 
@@ -328,9 +349,11 @@
 	}
 	ref := refuse(reason, "job %q: %s", j.spec.ID, message)
 	state := JobRefused
-	if j.began {
-		ref.Verdict = Ran
-		state = JobFailed
+	switch {
+	case j.began:
+		ref.Verdict, state = Ran, JobFailed
+	case j.doubtful:
+		ref.Verdict, state = MayHaveRun, JobFailed
 	}
 	if reason == ReasonCancelled {
 		state = JobCancelled
--- a/core/submit.go
+++ b/core/submit.go
@@ -56,7 +56,8 @@
 	r.emit(Reply{Request: s.Request, Status: j.status(r.now)})
 }
 
-// admit checks a new job. The refusals it gives are all true "not run".
+// admit checks a new job. Except for a standby's, its refusals are all true
+// "not run".
 func (r *Reducer) admit(spec *JobSpec) (*Kind, *Refusal) {
 	t := r.docs.team(spec.Team)
 	if t == nil {
@@ -71,9 +72,7 @@
 	case len(spec.Payload) > MaxPayloadBytes:
 		return nil, refuse(ReasonTooLarge, "payload of %d bytes exceeds %d", len(spec.Payload), MaxPayloadBytes)
 	case r.owner.role == roleStandby:
-		ref := refuse(ReasonStoreUnavailable, "the store cannot be reached; no job can be made durable")
-		ref.RetryAfter = maxWaitHint
-		return nil, ref
+		return nil, withoutJournal()
 	}
 	if ref := r.admitSize(kind); ref != nil {
 		return nil, ref
@@ -81,6 +80,23 @@
 	return kind, r.admitQueue(t, kind)
 }
 
+// withoutJournal is the refusal of a standby, which cannot read the journal. The
+// former owner may have accepted the job.
+func withoutJournal() *Refusal {
+	ref := refuse(ReasonStoreUnavailable, "the store cannot be reached; no job can be read or made durable")
+	ref.Verdict, ref.RetryAfter = MayHaveRun, maxWaitHint
+	return ref
+}
+
+// unknownJob refuses a request about a job that is not known here.
+func (r *Reducer) unknownJob(request RequestID, id JobID) {
+	ref := refuse(ReasonUnknownJob, "job %q is not known", id)
+	if r.owner.role == roleStandby {
+		ref = withoutJournal()
+	}
+	r.refuse(request, ref, "", "")
+}
+
 // admitSize refuses a kind that the workers could not hold even if they were
 // empty.
 func (r *Reducer) admitSize(kind *Kind) *Refusal {
@@ -179,15 +195,18 @@
 	}
 	j := r.jobs.get(c.Job)
 	if j == nil || j.service != "" {
-		r.refuse(c.Request, refuse(ReasonUnknownJob, "job %q is not known", c.Job), "", "")
+		r.unknownJob(c.Request, c.Job)
 		return
 	}
-	if j.state.Final() {
+	if j.settled() {
 		r.emit(Reply{Request: c.Request, Status: j.status(r.now)})
 		return
 	}
-	j.cancelled = true
 	r.jobs.wait(j, c.Request)
+	if j.state.Final() {
+		return
+	}
+	j.cancelled = true
 	switch j.state {
 	case JobAccepting:
 		if r.dropOpenRecords(j.spec.ID) {
@@ -211,10 +230,10 @@
 	j := r.jobs.get(s.Job)
 	switch {
 	case j == nil:
-		r.refuse(s.Request, refuse(ReasonUnknownJob, "job %q is not known", s.Job), "", "")
+		r.unknownJob(s.Request, s.Job)
 	case s.Explain:
 		r.emit(Reply{Request: s.Request, Explain: r.explain(j)})
-	case s.Wait && !j.state.Final():
+	case s.Wait && !j.settled():
 		r.jobs.wait(j, s.Request)
 	default:
 		r.emit(Reply{Request: s.Request, Status: j.status(r.now)})
