--- a/core/fairness.go
+++ b/core/fairness.go
@@ -1,128 +1,110 @@
 package core
 
-// rankOf orders the heads of queues. Work within its team's quota goes before
-// work on borrowed capacity, whatever its urgency: a flood of urgent work of one
-// team then takes nothing that another team is entitled to. Within that, more
-// urgent work goes first, and among equals the team with the least weighted
-// dominant share.
-type rankOf struct {
-	borrowed bool
-	urgency  Urgency
-	share    float64
-	since    Time
+// head orders the oldest jobs of the queues. Work within its team's quota goes
+// before work on borrowed capacity, whatever its urgency: a flood of urgent work
+// of one team then takes nothing that another team is entitled to. Within that,
+// more urgent work goes first, then the team with the least weighted dominant
+// share, and then the oldest job. All heads lie together in memory, since each
+// placement looks at all of them.
+type head struct {
+	// order is the class times classWidth, plus the share.
+	order float64
+	since Time
+	shape int
 }
 
+const (
+	// classWidth separates the classes in head.order. A share is below it:
+	// the weighted share of a team is at most a small multiple of 1.
+	classWidth = 1e6
+	// borrowedClass is added to the class of work on borrowed capacity.
+	borrowedClass = urgencies
+)
+
 // before reports whether a goes before b.
-func (a rankOf) before(b rankOf) bool {
-	switch {
-	case a.borrowed != b.borrowed:
-		return b.borrowed
-	case a.urgency != b.urgency:
-		return a.urgency < b.urgency
-	case a.share != b.share:
-		return a.share < b.share
+func (a *head) before(b *head) bool {
+	if a.order != b.order {
+		return a.order < b.order
 	}
 	return a.since < b.since
 }
 
-// next returns the queue whose head is to be placed next, or nil. Queues whose
-// head did not fit are passed over until capacity has been released.
+// borrowed reports whether the job would run on borrowed capacity.
+func (a *head) borrowed() bool { return a.order >= borrowedClass*classWidth }
+
+// nextQueue returns the queue whose head is to be placed next, or nil. Queues
+// whose head surely has no room are passed over. The first of them counts how
+// often it is overtaken.
 func (r *Reducer) nextQueue() *kindQueue {
-	var best *kindQueue
-	var bestRank rankOf
-	for _, k := range r.queues.busy {
-		if k.blocked && k.blockedAt == r.fleet.released || r.passOver(k) {
-			continue
-		}
-		j := k.first()
-		if j == nil {
+	q := &r.queues
+	r.refreshHeads()
+	best, first := -1, -1
+	for i := range q.heads {
+		h := &q.heads[i]
+		if q.shapes.list[h.shape].blocked {
+			if first < 0 || h.before(&q.heads[first]) {
+				first = i
+			}
 			continue
 		}
-		if rank := r.rank(k, j); best == nil || rank.before(bestRank) {
-			best, bestRank = k, rank
+		if best < 0 || h.before(&q.heads[best]) {
+			best = i
 		}
 	}
-	return best
-}
-
-// passOver reports whether there is surely no room for the head of k, and none is
-// to be made for it now. It reads as little memory as it can, since it runs for
-// every queue.
-func (r *Reducer) passOver(k *kindQueue) bool {
-	if k.shapeOf == nil || !r.isFull(k.shape) {
-		return false
+	if best < 0 {
+		return nil
 	}
-	if r.now >= k.nextRoom {
-		if r.wantsRoom(k, k.shapeOf) {
-			return false
+	if first >= 0 && q.heads[first].before(&q.heads[best]) {
+		k := q.busy[first]
+		if k.overtaken++; k.overtaken >= overtakenLimit {
+			q.starved = k
 		}
-		k.nextRoom = r.now.Add(roomRetry)
 	}
-	return true
+	return q.busy[best]
 }
 
-// isFull reports whether no room of a shape was found, and no worker has released
-// as much since.
-func (r *Reducer) isFull(s *shape) bool {
-	f := &r.fleet
-	switch {
-	case !s.failed || s.failedAt < f.changed:
-		return false
-	case s.failedAt == f.released:
-		return true
-	}
-	if f.released-s.failedAt > uint64(len(f.freed)) {
-		return false
+// refreshHeads computes the heads anew that may have changed.
+func (r *Reducer) refreshHeads() {
+	q := &r.queues
+	for _, t := range r.fleet.usedBy {
+		t.stale = false
+		for _, k := range t.queues {
+			if k.size > 0 {
+				q.touch(k)
+			}
+		}
 	}
-	for n := s.failedAt + 1; n <= f.released; n++ {
-		if w := f.freed[n%uint64(len(f.freed))]; w != nil && s.need.Fits(w.free()) {
-			return false
+	r.fleet.usedBy = r.fleet.usedBy[:0]
+	for _, k := range q.stale {
+		k.stale = false
+		if k.size > 0 {
+			r.refreshHead(k)
 		}
 	}
-	s.failedAt = f.released
-	return true
+	q.stale = q.stale[:0]
 }
 
-// wantsRoom reports whether onBlocked could make room for j.
-func (r *Reducer) wantsRoom(k *kindQueue, j *job) bool {
-	if k.urgency <= Urgent && !r.rank(k, j).borrowed {
-		return true
+// refreshHead computes the head of one queue.
+func (r *Reducer) refreshHead(k *kindQueue) {
+	j := k.first()
+	class := float64(k.urgency)
+	if !r.entitled(k.team, j.demand()) {
+		class += borrowedClass
 	}
-	return r.reserve.gathering() < maxReservations && r.now.Sub(j.spec.Submitted) >= reserveAfter
-}
-
-// noteNoRoom remembers that no room was found for j. A job that has failed on
-// some worker, or for which room is kept, says nothing about others.
-func (r *Reducer) noteNoRoom(k *kindQueue, j *job) {
-	s := r.queues.shape(k, j, r.kinds.runTime(j, backfillPercentile))
-	if j.failures == 0 && !j.reserved {
-		s.failed, s.failedAt = true, r.fleet.released
+	h := &r.queues.heads[k.at]
+	h.order, h.since = class*classWidth+r.share(k.team), j.spec.Submitted
+	if key := r.shapeOf(j); h.shape == noShape || r.queues.shapes.list[h.shape].key != key {
+		old := h.shape
+		h.shape = r.queues.shapes.acquire(key)
+		r.queues.shapes.release(old)
 	}
 }
 
-// rankStamp tells whether what a rank was computed from has changed.
-type rankStamp struct {
-	uses     uint64
-	revision Revision
-	rebuilt  uint64
-	urgency  Urgency
-}
-
-// rank computes the order of a queue by its head. The rank of a job with one
-// task is kept until the team's use, its document or the fleet changes.
-func (r *Reducer) rank(k *kindQueue, j *job) rankOf {
-	stamp := rankStamp{k.team.uses, k.team.version.Revision, r.fleet.rebuilt, k.urgency}
-	if k.rankedOf == j && k.rankedAt == stamp && len(j.tasks) == 1 {
-		return k.ranked
-	}
-	k.rankedOf, k.rankedAt = j, stamp
-	k.ranked = rankOf{
-		borrowed: !r.entitled(k.team, j.demand()),
-		urgency:  k.urgency,
-		share:    r.share(k.team),
-		since:    j.spec.Submitted,
+// touchAll has every head computed anew.
+func (r *Reducer) touchAll() {
+	for _, k := range r.queues.busy {
+		r.queues.touch(k)
 	}
-	return k.ranked
 }
 
 // share is the team's weighted dominant share of the data centre.
--- a/core/feasible.go
+++ b/core/feasible.go
@@ -12,7 +12,9 @@
 // constraint restricts the workers that a task may be placed on.
 type constraint struct {
 	need Resources
-	job  JobID
+	// job and queue may use the workers that are reserved for them.
+	job   JobID
+	queue JobID
 	// avoid lists workers on which the task has failed.
 	avoid []WorkerID
 	// accept, if set, is a further filter.
@@ -38,11 +40,13 @@
 	return found
 }
 
+// owns reports whether w is reserved for the job.
+func (c *constraint) owns(w *worker) bool {
+	return w.reservedBy == c.job || (c.queue != "" && w.reservedBy == c.queue)
+}
+
 // allows applies the filters that the index does not cover.
 func (c *constraint) allows(w *worker) bool {
-	if w.reservedBy != "" && w.reservedBy != c.job && c.endsBy >= w.roomAt {
-		return false
-	}
 	for _, id := range c.avoid {
 		if id == w.id {
 			return false
@@ -70,7 +74,7 @@
 			counts[3].Workers++
 		case !c.need.Fits(w.free()):
 			counts[4].Workers++
-		case w.reservedBy != "" && w.reservedBy != c.job:
+		case w.reservedBy != "" && !c.owns(w):
 			counts[5].Workers++
 		case !c.allows(w):
 			counts[6].Workers++
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -41,6 +41,8 @@
 	slot int
 	// reservedBy is the job that room is being gathered for, or empty.
 	reservedBy JobID
+	// freed is set while the worker is in fleet.freed.
+	freed bool
 	// roomAt is when the room for that job is expected. Other work may use
 	// the worker if it ends by then.
 	roomAt Time
@@ -52,6 +54,12 @@
 	task int
 }
 
+// holdKey asks how often a request fits into the empty fleet.
+type holdKey struct {
+	need  Resources
+	limit int64
+}
+
 // fleet holds the workers of the data centre.
 type fleet struct {
 	// workers is in slot order: workers with accelerators last, so that other
@@ -60,23 +68,21 @@
 	byID    map[WorkerID]*worker
 	index   capacityIndex
 	total   Resources
-	// released counts the events after which a placement that failed before
-	// may succeed.
-	released uint64
-	// changed is released at the last event that may have made room on any
-	// worker, and freed holds the workers of the latest other ones, each at the
-	// place of its number.
-	changed uint64
-	freed   [32]*worker
-	// scheduled is released at the time of the last placement.
-	scheduled uint64
-	// rebuilt counts the changes of total.
-	rebuilt uint64
+	// freed lists the workers that have released room since the last look, and
+	// freedAll is set when any worker may have.
+	freed    []*worker
+	freedAll bool
+	// usedBy lists the teams whose use has changed since the last look.
+	usedBy []*team
+	// holds remembers the answers of canEverHold.
+	holds map[holdKey]int64
 	// takeover is when this host began to fence workers.
 	takeover Time
 }
 
-func newFleet() fleet { return fleet{byID: map[WorkerID]*worker{}} }
+func newFleet() fleet {
+	return fleet{byID: map[WorkerID]*worker{}, holds: map[holdKey]int64{}}
+}
 
 func (f *fleet) get(id WorkerID) *worker { return f.byID[id] }
 
@@ -146,6 +152,7 @@
 	slices.SortFunc(f.workers, compareWorkers)
 	f.index = newCapacityIndex(len(f.workers))
 	f.total = Resources{}
+	f.holds = map[holdKey]int64{}
 	for i, w := range f.workers {
 		w.slot = i
 		if w.listed && !w.leaving {
@@ -153,8 +160,7 @@
 		}
 		f.refresh(w)
 	}
-	f.rebuilt++
-	f.changeAll()
+	f.freedAll = true
 }
 
 // compareWorkers orders workers as fleet.workers requires.
@@ -171,10 +177,11 @@
 	return strings.Compare(string(a.id), string(b.id))
 }
 
-// refresh brings the index up to date with a worker.
+// refresh brings the index up to date with a worker. Reserved workers are not in
+// it; pick looks at them apart.
 func (f *fleet) refresh(w *worker) {
 	free := unusable
-	if w.isUsable() {
+	if w.isUsable() && w.reservedBy == "" {
 		free = w.free()
 	}
 	f.index.set(w.slot, free)
@@ -185,9 +192,7 @@
 	t.worker, t.incarnation, t.held = w.id, w.incarnation, need
 	w.placements[taskKey{j.spec.ID, t.index}] = placement{j, t}
 	f.hold(w, need)
-	if team := j.team; team != nil {
-		team.use(need, 1)
-	}
+	f.charge(j.team, need, 1)
 }
 
 // unassign returns what a task holds.
@@ -202,9 +207,7 @@
 	}
 	delete(w.placements, key)
 	f.hold(w, t.held.Times(-1))
-	if team := j.team; team != nil {
-		team.use(t.held, -1)
-	}
+	f.charge(j.team, t.held, -1)
 	t.held = Resources{}
 }
 
@@ -212,16 +215,29 @@
 func (f *fleet) hold(w *worker, need Resources) {
 	w.assigned = w.assigned.Add(need)
 	if need.MilliCPU < 0 || need.MemoryMB < 0 || need.Slots < 0 || need.Accelerators < 0 || need.Connections < 0 {
-		f.released++
-		f.freed[f.released%uint64(len(f.freed))] = w
+		f.release(w)
 	}
 	f.refresh(w)
 }
 
-// changeAll notes an event after which any worker may have room.
-func (f *fleet) changeAll() {
-	f.released++
-	f.changed = f.released
+// release notes that a worker may have room that it did not have before.
+func (f *fleet) release(w *worker) {
+	if !w.freed {
+		w.freed = true
+		f.freed = append(f.freed, w)
+	}
+}
+
+// charge adds sign times need to what a team uses.
+func (f *fleet) charge(t *team, need Resources, sign int64) {
+	if t == nil {
+		return
+	}
+	t.used = t.used.Add(need.Times(sign))
+	if !t.stale {
+		t.stale = true
+		f.usedBy = append(f.usedBy, t)
+	}
 }
 
 // addOrphan counts a task of no known job.
@@ -254,7 +270,7 @@
 		w.health = workerHealth{}
 		f.refresh(w)
 	}
-	f.changeAll()
+	f.freedAll = true
 }
 
 // allSettled reports whether every listed worker has answered or is lost.
@@ -267,9 +283,13 @@
 	return true
 }
 
-// canEverHold reports whether some listed worker could hold need if it were
-// empty, and how many copies all workers together could hold, at most limit.
+// canEverHold returns how many copies of need all workers together could hold if
+// they were empty, at most limit. The answer is kept until the fleet changes.
 func (f *fleet) canEverHold(need Resources, limit int64) int64 {
+	key := holdKey{need, limit}
+	if n, ok := f.holds[key]; ok {
+		return n
+	}
 	n := int64(0)
 	for _, w := range f.workers {
 		if n >= limit {
@@ -279,5 +299,6 @@
 			n += need.Copies(w.capacity, limit-n)
 		}
 	}
+	f.holds[key] = n
 	return n
 }
--- a/core/grants.go
+++ b/core/grants.go
@@ -244,14 +244,14 @@
 		return false
 	}
 	id := JobID("grant:" + string(t.name) + "/" + string(k.Name))
-	w := r.fleet.pick(&constraint{
+	w := r.pick(&constraint{
 		need: k.Request, job: id, endsBy: r.now.Add(k.Deadline),
 		accept: func(w *worker) bool {
 			return r.grants.grantsOn(key, w.id) < w.callLimitOf(key).current()
 		},
-	})
+	}, nil)
 	if w == nil {
-		if entitled && r.reserve.of(id) == nil {
+		if entitled && len(r.reserve.of(id)) == 0 {
 			c := claim{id: id, team: t, urgency: Interactive, need: k.Request}
 			if plan, ok := r.planPreemption(&c, nil); ok {
 				r.carryOut(&c, []preemptionPlan{plan})
@@ -267,8 +267,9 @@
 // entitledWaiting reports whether another team has work within its quota that
 // waits for room.
 func (r *Reducer) entitledWaiting(t *team) bool {
-	for _, k := range r.queues.busy {
-		if j := k.first(); k.team != t && j != nil && r.entitled(k.team, j.demand()) {
+	r.refreshHeads()
+	for i := range r.queues.heads {
+		if !r.queues.heads[i].borrowed() && r.queues.busy[i].team != t {
 			return true
 		}
 	}
@@ -305,9 +306,7 @@
 	if w := r.fleet.get(e.worker); w != nil && !by.IsZero() {
 		r.fleet.hold(w, by)
 	}
-	if t := r.docs.team(e.queue.team); t != nil {
-		t.use(by, 1)
-	}
+	r.fleet.charge(r.docs.team(e.queue.team), by, 1)
 }
 
 // noteUse takes over a host's report about its grants.
--- a/core/health.go
+++ b/core/health.go
@@ -71,7 +71,7 @@
 		if w.health.quarantined && r.now >= w.health.until {
 			w.health.quarantined = false
 			r.fleet.refresh(w)
-			r.fleet.changeAll()
+			r.fleet.release(w)
 		}
 	}
 }
--- a/core/journal.go
+++ b/core/journal.go
@@ -149,7 +149,8 @@
 		Epoch: r.owner.epoch, Sequence: j.sequence + 1, ID: r.rng.Uint64(),
 		Records: append([]Record(nil), j.open[:n]...),
 	}
-	j.open = append([]Record(nil), j.open[n:]...)
+	clear(j.open[:n]) // lets go of their payloads
+	j.open = j.open[n:]
 	j.openBytes -= bytes
 }
 
--- a/core/preempt.go
+++ b/core/preempt.go
@@ -8,7 +8,7 @@
 
 const (
 	// preemptSample bounds the workers looked at for one preemption.
-	preemptSample = 64
+	preemptSample = 24
 	// preemptTime is how long room that was made by preemption is kept for
 	// the job that it was made for.
 	preemptTime = 5 * time.Second
@@ -125,13 +125,14 @@
 // planOn picks victims on one worker until the claim fits. Milder acts are tried
 // alone before harsher ones are allowed, and the least loss goes first.
 func (r *Reducer) planOn(c *claim, w *worker) (preemptionPlan, bool) {
-	if !c.need.Fits(r.mostFree(c, w)) {
+	weaker := r.preemptibleOn(c, w)
+	if len(weaker) == 0 {
 		return preemptionPlan{}, false
 	}
 	for _, harshest := range []Signal{SignalThrottle, SignalCheckpoint, SignalStop} {
 		plan := preemptionPlan{worker: w}
 		free := w.free()
-		for _, v := range r.victimsOn(c, w, harshest) {
+		for _, v := range r.victimsOf(weaker, harshest) {
 			if c.need.Fits(free) {
 				break
 			}
@@ -147,19 +148,6 @@
 	return preemptionPlan{}, false
 }
 
-// mostFree bounds what preemption could leave free on w for the claim. It spares
-// the sorting of victims on workers that cannot help.
-func (r *Reducer) mostFree(c *claim, w *worker) Resources {
-	free := w.free()
-	for _, p := range w.placements { // a sum does not depend on the order
-		policy := p.job.kind.Preemption
-		if (policy.Throttle || policy.Checkpoint || policy.Stop) && r.mayPreempt(c, p) {
-			free = free.Add(p.task.held)
-		}
-	}
-	return free
-}
-
 // helps reports whether r adds to a dimension in which need exceeds free.
 func (r Resources) helps(need, free Resources) bool {
 	give, want, have := r.vector(), need.vector(), free.vector()
@@ -171,13 +159,23 @@
 	return false
 }
 
-// victimsOn lists one act against each task on w, none harsher than harshest.
-func (r *Reducer) victimsOn(c *claim, w *worker, harshest Signal) []victim {
-	var out []victim
-	for _, p := range w.sorted() {
-		if !r.mayPreempt(c, p) {
-			continue
+// preemptibleOn lists the tasks on w that may give way to the claim, in a fixed
+// order.
+func (r *Reducer) preemptibleOn(c *claim, w *worker) []placement {
+	var out []placement
+	for _, p := range w.placements {
+		if r.mayPreempt(c, p) {
+			out = append(out, p)
 		}
+	}
+	sortPlacements(out)
+	return out
+}
+
+// victimsOf lists one act against each task, none harsher than harshest.
+func (r *Reducer) victimsOf(weaker []placement, harshest Signal) []victim {
+	var out []victim
+	for _, p := range weaker {
 		if v, ok := r.actAgainst(p, harshest); ok {
 			out = append(out, v)
 		}
@@ -221,7 +219,7 @@
 
 // carryOut sends the signals of the plans and keeps the room for the claim.
 func (r *Reducer) carryOut(c *claim, plans []preemptionPlan) {
-	v := &reservation{job: c.id, until: r.now.Add(preemptTime), preemption: true}
+	v := &reservation{id: c.id, until: r.now.Add(preemptTime), preemption: true}
 	for _, p := range plans {
 		v.workers = append(v.workers, p.worker)
 		for _, act := range p.victims {
@@ -232,7 +230,7 @@
 			r.signal(act.job, act.task, act.signal)
 		}
 	}
-	r.reserve.add(v)
+	r.reserve.add(r, v)
 }
 
 // onThrottled adjusts what a task holds to whether it is throttled.
@@ -256,9 +254,7 @@
 	}
 	t.held = t.held.Add(by)
 	r.fleet.hold(w, by)
-	if j.team != nil {
-		j.team.use(by, 1)
-	}
+	r.fleet.charge(j.team, by, 1)
 }
 
 // tickPreemption ends reservations and lets throttled tasks run at full speed
--- a/core/queue.go
+++ b/core/queue.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"math/bits"
 	"slices"
 	"time"
 )
@@ -23,68 +22,43 @@
 	// size counts the jobs that are still waiting; entries that were removed
 	// from the middle stay in jobs until they reach the head.
 	size int
-	// blockedAt is fleet.released at the time when the head did not fit.
-	blockedAt uint64
-	blocked   bool
-	// nextRoom is when room may next be made for a head that did not fit.
+	// at is the place of the queue in queues.busy and queues.heads while it is
+	// not empty.
+	at int
+	// stale is set while the queue's entry in queues.heads must be computed
+	// anew.
+	stale bool
+	// overtaken counts the placements that passed the head while it was the
+	// first that had no room.
+	overtaken int
+	// nextRoom is when work may next be preempted for the head, and roomWait
+	// is the wait after the last try.
 	nextRoom Time
-	// shape is that of shapeOf, the head at the last look.
-	shape   *shape
-	shapeOf *job
-	// ranked is the rank of rankedOf while the team's use is rankedAt.
-	ranked   rankOf
-	rankedOf *job
-	rankedAt rankStamp
-	starts   rateMeter
-}
-
-// shapeKey is the room that a job needs: copies of a request, for a run time of
-// about two to the power of runBits nanoseconds. Backfill beside a reservation may
-// have room for a shorter job only.
-type shapeKey struct {
-	need    Resources
-	copies  int
-	runBits int
-}
-
-// shape remembers that no room of a size was found, so that the other queues
-// whose heads need the same are passed over until a worker has released as much.
-// Without this each release cost a try for every queue.
-type shape struct {
-	need     Resources
-	failed   bool
-	failedAt uint64
+	roomWait time.Duration
+	// reservation names room that is kept for any job of the queue.
+	reservation JobID
+	starts      rateMeter
 }
 
 // queues holds all queues.
+//
+// Invariant: heads and busy have the same length, and heads[i] describes the
+// oldest job of busy[i] unless that queue is stale.
 type queues struct {
 	byKey map[queueKey]*kindQueue
 	// busy lists the queues that are not empty.
-	busy []*kindQueue
-	// changed is set when a job was added.
-	changed bool
+	busy  []*kindQueue
+	heads []head
+	// stale lists the queues whose head must be computed anew.
+	stale  []*kindQueue
+	shapes shapeTable
+	// starved is a queue whose head was overtaken often, or nil.
+	starved *kindQueue
 	delayed timeHeap
-	shapes  map[shapeKey]*shape
 }
 
 func newQueues() queues {
-	return queues{byKey: map[queueKey]*kindQueue{}, shapes: map[shapeKey]*shape{}}
-}
-
-// shape returns the shape of a queue's head. It is kept for the head of a queue
-// unless its tasks are several or room is reserved for it.
-func (q *queues) shape(k *kindQueue, j *job, run time.Duration) *shape {
-	key := shapeKey{j.kind.Request, j.waiting(), bits.Len64(uint64(run))}
-	s := q.shapes[key]
-	if s == nil {
-		s = &shape{need: j.kind.Request}
-		q.shapes[key] = s
-	}
-	k.shape, k.shapeOf = s, nil
-	if len(j.tasks) == 1 && !j.reserved {
-		k.shapeOf = j
-	}
-	return s
+	return queues{byKey: map[queueKey]*kindQueue{}, shapes: newShapeTable()}
 }
 
 // of returns the queue of a job.
@@ -92,8 +66,11 @@
 	key := queueKey{j.spec.Team, j.spec.Kind}
 	k := q.byKey[key]
 	if k == nil {
-		k = &kindQueue{key: key}
+		k = &kindQueue{key: key, reservation: JobID("queue:" + string(key.team) + "/" + string(key.kind))}
 		q.byKey[key] = k
+		if j.team != nil {
+			j.team.queues = append(j.team.queues, k)
+		}
 	}
 	k.team, k.urgency = j.team, j.kind.Urgency
 	return k
@@ -101,19 +78,20 @@
 
 // push adds a job at the end of its queue.
 func (q *queues) push(j *job) {
-	k := q.of(j)
 	if j.inQueue {
 		return
 	}
+	k := q.of(j)
 	if k.size == 0 {
 		k.jobs, k.head = k.jobs[:0], 0
+		k.at, k.overtaken, k.nextRoom = len(q.busy), 0, 0
 		q.busy = append(q.busy, k)
-		k.blocked, k.nextRoom, k.shapeOf, k.rankedOf = false, 0, nil, nil
+		q.heads = append(q.heads, head{shape: noShape})
+		q.touch(k)
 	}
 	j.inQueue = true
 	k.jobs = append(k.jobs, j)
 	k.size++
-	q.changed = true
 }
 
 // remove takes a job out of its queue.
@@ -124,24 +102,40 @@
 	k := q.of(j)
 	j.inQueue = false
 	k.size--
-	k.shapeOf = nil
 	if k.size == 0 {
-		k.jobs, k.head = nil, 0
-		q.busy = slices.DeleteFunc(q.busy, func(o *kindQueue) bool { return o == k })
+		q.drop(k)
 		return
 	}
-	if k.first() == j || k.jobs[k.head] == j {
-		k.blocked = false
+	if k.jobs[k.head] == j {
+		k.overtaken, k.nextRoom = 0, 0
+		q.touch(k)
 	}
 	k.compact()
 }
 
+// drop takes an empty queue out of the list of busy ones.
+func (q *queues) drop(k *kindQueue) {
+	q.shapes.release(q.heads[k.at].shape)
+	last := len(q.busy) - 1
+	q.busy[k.at], q.heads[k.at] = q.busy[last], q.heads[last]
+	q.busy[k.at].at = k.at
+	q.busy, q.heads = q.busy[:last], q.heads[:last]
+	k.jobs, k.head = nil, 0
+}
+
+// touch has the head of a queue computed anew before the next placement.
+func (q *queues) touch(k *kindQueue) {
+	if !k.stale {
+		k.stale = true
+		q.stale = append(q.stale, k)
+	}
+}
+
 // first returns the oldest waiting job, or nil.
 func (k *kindQueue) first() *job {
 	for k.head < len(k.jobs) && !k.jobs[k.head].inQueue {
 		k.jobs[k.head] = nil
 		k.head++
-		k.blocked = false
 	}
 	if k.head == len(k.jobs) {
 		return nil
@@ -153,7 +147,7 @@
 func (k *kindQueue) compact() {
 	const least = 64
 	if k.head > least && k.head > len(k.jobs)/2 {
-		k.jobs = append([]*job(nil), k.jobs[k.head:]...)
+		k.jobs = slices.Clone(k.jobs[k.head:])
 		k.head = 0
 	}
 }
--- a/core/rank.go
+++ b/core/rank.go
@@ -40,11 +40,62 @@
 	return score
 }
 
-// pick returns a worker for c, or nil if none has room.
-func (f *fleet) pick(c *constraint) *worker {
+// pick returns a worker for c, or nil if none has room. Room that is reserved for
+// the job goes first, then free workers, and then backfill: workers reserved for
+// another job that the task is expected to leave before their room is needed.
+func (r *Reducer) pick(c *constraint, siblings func(rack string) int) *worker {
+	if w := r.reservedWorker(c); w != nil {
+		return w
+	}
+	if c.need.Fits(r.fleet.index.largest()) {
+		if w := r.freeWorker(c, siblings); w != nil {
+			return w
+		}
+	}
+	return r.backfillWorker(c)
+}
+
+// freeWorker returns the best unreserved worker for c, or nil.
+func (r *Reducer) freeWorker(c *constraint, siblings func(rack string) int) *worker {
+	if siblings != nil {
+		return r.fleet.pickSpread(c, siblings)
+	}
 	var buffer [candidates]*worker
-	found := f.feasible(c, 0, buffer[:0])
-	return f.rank(c, found, nil)
+	return r.fleet.rank(c, r.fleet.feasible(c, 0, buffer[:0]), nil)
+}
+
+// reservedWorker returns a worker that is reserved for the job and has room.
+func (r *Reducer) reservedWorker(c *constraint) *worker {
+	if len(r.reserve.list) == 0 {
+		return nil
+	}
+	for _, id := range [...]JobID{c.job, c.queue} {
+		for _, v := range r.reserve.of(id) {
+			for _, w := range v.workers {
+				if w.isUsable() && c.need.Fits(w.free()) && c.allows(w) {
+					return w
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// backfillWorker returns a worker that is reserved for another job and has room
+// until that job is expected to start there.
+func (r *Reducer) backfillWorker(c *constraint) *worker {
+	looked := 0
+	for _, v := range r.reserve.list {
+		for _, w := range v.workers {
+			if looked++; looked > backfillLooks {
+				return nil
+			}
+			if c.endsBy < w.roomAt && w.isUsable() && c.need.Fits(w.free()) && c.allows(w) {
+				return w
+			}
+		}
+	}
+	return nil
 }
 
 // pickSpread returns a worker for work that is spread over racks. The search
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -80,6 +80,7 @@
 
 	throttledTasks []taskKey
 	nextUnthrottle Time
+	nextRoom       Time
 
 	// held lists durable assignments that wait for a certain lease.
 	held []TaskRef
@@ -201,6 +202,7 @@
 	r.tickServices()
 	r.tickGrants()
 	r.tickPreemption()
+	r.tickRoom()
 	r.tickParked()
 	r.tickDrain()
 }
--- a/core/reserve.go
+++ b/core/reserve.go
@@ -18,13 +18,17 @@
 	maxReservations = 2
 	// reserveShare bounds the workers reserved for one job.
 	reserveShare = 0.25
+	// reservePause is the time between two tries to gather room: each looks at
+	// every worker.
+	reservePause = time.Second
 	// medianPercentile is the run time that half of all tasks end within.
 	medianPercentile = 50
 )
 
 // reservation keeps workers free of other new work until a job fits.
 type reservation struct {
-	job     JobID
+	// id is the job's, or that of a queue any of whose jobs may use the room.
+	id      JobID
 	workers []*worker
 	until   Time
 	// preemption is set when the room comes from preempted work.
@@ -32,49 +36,72 @@
 }
 
 // reservations holds the reservations in the order of their creation.
+//
+// Invariant: the reservedBy of a worker is the id of the one reservation that
+// lists it, or empty.
 type reservations struct {
 	list []*reservation
+	byID map[JobID][]*reservation
 	// again says when room may be gathered again for a job that had its time.
 	again map[JobID]Time
+	// next is when room may be gathered for another job.
+	next Time
 }
 
-func newReservations() reservations { return reservations{again: map[JobID]Time{}} }
-
-// of returns the reservation of a job, or nil.
-func (s *reservations) of(id JobID) *reservation {
-	for _, v := range s.list {
-		if v.job == id {
-			return v
-		}
-	}
-	return nil
+func newReservations() reservations {
+	return reservations{byID: map[JobID][]*reservation{}, again: map[JobID]Time{}}
 }
 
-// drop ends the reservation of a job.
+// of returns the reservations with an id.
+func (s *reservations) of(id JobID) []*reservation { return s.byID[id] }
+
+// drop ends the reservations of a job.
 func (s *reservations) drop(r *Reducer, id JobID) {
 	delete(s.again, id)
-	v := s.of(id)
-	if v == nil {
-		return
+	for _, v := range slices.Clone(s.of(id)) {
+		s.end(r, v)
 	}
-	if j := r.jobs.get(id); j != nil {
+}
+
+// end ends one reservation and returns its workers to the index.
+func (s *reservations) end(r *Reducer, v *reservation) {
+	if j := r.jobs.get(v.id); j != nil {
 		j.reserved = false
 	}
-	s.list = slices.DeleteFunc(s.list, func(o *reservation) bool { return o == v })
+	same := func(o *reservation) bool { return o == v }
+	s.list = slices.DeleteFunc(s.list, same)
+	if s.byID[v.id] = slices.DeleteFunc(s.byID[v.id], same); len(s.byID[v.id]) == 0 {
+		delete(s.byID, v.id)
+	}
 	for _, w := range v.workers {
-		if w.reservedBy == id {
-			w.reservedBy, w.roomAt = "", 0
+		w.reservedBy, w.roomAt = "", 0
+		r.fleet.refresh(w)
+		r.fleet.release(w)
+	}
+}
+
+// dropWorker ends the reservation of a worker for a queue once one of its jobs
+// has been placed there.
+func (s *reservations) dropWorker(r *Reducer, id JobID, w *worker) {
+	if w == nil || w.reservedBy != id {
+		return
+	}
+	for _, v := range s.of(id) {
+		if slices.Contains(v.workers, w) {
+			s.end(r, v)
+			return
 		}
 	}
-	r.fleet.changeAll()
 }
 
-// add reserves workers for a job.
-func (s *reservations) add(v *reservation) {
+// add reserves workers.
+func (s *reservations) add(r *Reducer, v *reservation) {
 	for _, w := range v.workers {
-		w.reservedBy = v.job
+		w.reservedBy = v.id
+		r.fleet.refresh(w)
 	}
 	s.list = append(s.list, v)
+	s.byID[v.id] = append(s.byID[v.id], v)
 }
 
 // gathering counts the reservations that gather room without preemption.
@@ -88,15 +115,14 @@
 	return n
 }
 
-// reserveFor gathers room for the head of a queue that has waited long.
+// reserveFor gathers room for the head of a queue that others keep overtaking.
 func (r *Reducer) reserveFor(k *kindQueue, j *job) {
 	waited := r.now.Sub(j.spec.Submitted)
-	if r.reserve.gathering() >= maxReservations || waited < reserveAfter || r.now < r.reserve.again[j.spec.ID] {
-		return
-	}
-	if !r.entitled(k.team, j.demand()) && r.othersEntitled(k) {
+	if j.reserved || r.reserve.gathering() >= maxReservations || waited < reserveAfter ||
+		r.now < r.reserve.again[j.spec.ID] || r.now < r.reserve.next {
 		return
 	}
+	r.reserve.next = r.now.Add(reservePause)
 	workers := r.workersFor(j)
 	if len(workers) == 0 {
 		return
@@ -104,8 +130,9 @@
 	for _, w := range workers {
 		w.roomAt = r.expectedRoom(w, j.kind.Request)
 	}
-	j.reserved = true
-	r.reserve.add(&reservation{job: j.spec.ID, workers: workers, until: r.now.Add(reserveTime)})
+	j.reserved, k.overtaken = true, 0
+	r.reserve.add(r, &reservation{id: j.spec.ID, workers: workers, until: r.now.Add(reserveTime)})
+	r.queues.touch(k)
 	r.jobs.note(j, r.now, "gathering room", workers[0].id)
 }
 
@@ -139,16 +166,6 @@
 	return r.now
 }
 
-// othersEntitled reports whether another queue has a head within its quota.
-func (r *Reducer) othersEntitled(k *kindQueue) bool {
-	for _, o := range r.queues.busy {
-		if j := o.first(); o != k && j != nil && r.entitled(o.team, j.demand()) {
-			return true
-		}
-	}
-	return false
-}
-
 // workersFor picks the workers that lack the least to hold the waiting tasks of
 // j, within the share that one job may reserve.
 func (r *Reducer) workersFor(j *job) []*worker {
@@ -188,11 +205,15 @@
 // tickReservations ends reservations that have lasted long enough.
 func (r *Reducer) tickReservations() {
 	for _, v := range slices.Clone(r.reserve.list) {
-		if r.now >= v.until {
-			r.reserve.drop(r, v.job)
-			if !v.preemption {
-				r.reserve.again[v.job] = r.now.Add(reserveTime)
-			}
+		if r.now < v.until {
+			continue
+		}
+		r.reserve.end(r, v)
+		if j := r.jobs.get(v.id); j != nil && !v.preemption {
+			r.reserve.again[v.id] = r.now.Add(reserveTime)
+		}
+		if j := r.jobs.get(v.id); j != nil && j.inQueue {
+			r.queues.touch(r.queues.of(j))
 		}
 	}
 }
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -15,26 +15,21 @@
 	// startResend is the wait before a start without an answer is sent again
 	// under the same attempt, which a worker starts only once.
 	startResend = 2 * time.Second
-	// roomRetry is the time between two tries to make room for the head of a
-	// queue. A failed try looks at preemptSample workers, and with hundreds
-	// of queues one try for each release took most of the processor time.
-	roomRetry = 500 * time.Millisecond
+	// backfillLooks bounds the reserved workers looked at for one task.
+	backfillLooks = 64
 )
 
 // schedule places waiting jobs until none fits or the step has done enough.
 func (r *Reducer) schedule() {
-	if !r.owner.active() || r.resuming {
+	if !r.owner.active() || r.resuming || !r.mayPlace() {
 		return
 	}
-	if !r.dirty && !r.queues.changed && r.fleet.scheduled == r.fleet.released {
-		return
-	}
-	r.dirty, r.queues.changed = false, false
+	r.dirty = false
+	r.reopenShapes()
 	for n := 0; ; n++ {
-		r.fleet.scheduled = r.fleet.released
 		k := r.nextQueue()
 		if k == nil {
-			return
+			break
 		}
 		if n == placementsPerStep {
 			r.resuming = true
@@ -43,54 +38,70 @@
 		}
 		r.placeHead(k)
 	}
+	r.makeRoom()
 }
 
-// placeHead places the oldest job of a queue, or marks the queue as blocked.
+// mayPlace reports whether anything has happened after which a job may be placed.
+func (r *Reducer) mayPlace() bool {
+	f := &r.fleet
+	return r.dirty || f.freedAll || len(f.freed) > 0 || len(r.queues.stale) > 0
+}
+
+// reopenShapes lets the jobs be tried again that may have room now.
+func (r *Reducer) reopenShapes() {
+	f, shapes := &r.fleet, &r.queues.shapes
+	if f.freedAll {
+		f.freedAll = false
+		r.touchAll()
+		shapes.reopenAll()
+	}
+	for _, w := range f.freed {
+		w.freed = false
+		if w.isUsable() {
+			shapes.reopen(w.free())
+		}
+	}
+	f.freed = f.freed[:0]
+}
+
+// placeHead places the oldest job of a queue, or marks its shape as blocked.
 func (r *Reducer) placeHead(k *kindQueue) {
 	j := k.first()
-	if r.placeJob(j) {
-		r.queues.remove(j)
-		k.starts.add(r.now)
-		k.nextRoom = 0
-		r.reserve.drop(r, j.spec.ID)
-		r.startAssigned(j)
-		return
-	}
-	k.blocked, k.blockedAt = true, r.fleet.released
-	r.noteNoRoom(k, j)
-	if r.now < k.nextRoom {
+	if !r.placeJob(k, j) {
+		r.queues.shapes.list[r.queues.heads[k.at].shape].blocked = true
 		return
 	}
-	r.onBlocked(k, j)
-	k.nextRoom = r.now.Add(roomRetry)
-	if j.reserved {
-		k.shapeOf = nil
-	}
+	k.starts.add(r.now)
+	r.queues.remove(j)
+	r.reserve.drop(r, j.spec.ID)
+	r.startAssigned(j)
 }
 
 // placeJob assigns all waiting tasks of a job to workers, or none of them.
-func (r *Reducer) placeJob(j *job) bool {
-	released := r.fleet.released
+func (r *Reducer) placeJob(k *kindQueue, j *job) bool {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state != taskWaiting {
 			continue
 		}
-		w := r.pickWorker(j, t)
+		w := r.pickWorker(k, j, t)
 		if w == nil {
 			r.undoPlacement(j, i)
-			// Undoing frees nothing that was not free before.
-			r.fleet.released = released
 			return false
 		}
 		r.fleet.assign(w, j, t, j.kind.Request)
 		t.state = taskAssigned
 	}
+	for i := range j.tasks {
+		r.reserve.dropWorker(r, k.reservation, r.fleet.get(j.tasks[i].worker))
+	}
 	return true
 }
 
-// undoPlacement returns what the first n tasks were assigned in this step.
+// undoPlacement returns what the first n tasks were assigned in this step. It
+// frees nothing that was not free before.
 func (r *Reducer) undoPlacement(j *job, n int) {
+	freed := len(r.fleet.freed)
 	for i := range j.tasks[:n] {
 		t := &j.tasks[i]
 		if t.state == taskAssigned {
@@ -98,21 +109,22 @@
 			t.state, t.worker = taskWaiting, ""
 		}
 	}
+	for _, w := range r.fleet.freed[freed:] {
+		w.freed = false
+	}
+	r.fleet.freed = r.fleet.freed[:freed]
 }
 
 // pickWorker filters and ranks workers for one task.
-func (r *Reducer) pickWorker(j *job, t *task) *worker {
+func (r *Reducer) pickWorker(k *kindQueue, j *job, t *task) *worker {
 	c := constraint{
-		need: j.kind.Request, job: j.spec.ID, avoid: t.failedOn,
+		need: j.kind.Request, job: j.spec.ID, queue: k.reservation, avoid: t.failedOn,
 		endsBy: r.now.Add(r.kinds.runTime(j, backfillPercentile)),
 	}
-	if !c.need.Fits(r.fleet.index.largest()) {
-		return nil
-	}
 	if j.service != "" {
-		return r.fleet.pickSpread(&c, func(rack string) int { return r.jobs.siblings(j, rack) })
+		return r.pick(&c, func(rack string) int { return r.jobs.siblings(j, rack) })
 	}
-	return r.fleet.pick(&c)
+	return r.pick(&c, nil)
 }
 
 // startAssigned starts the tasks that were just assigned. A non-idempotent task
@@ -189,14 +201,3 @@
 		LatestStart: min(r.now.Add(startWindow), j.deadline()), Checkpoint: t.checkpoint,
 	})
 }
-
-// onBlocked looks for ways to make room for a head that does not fit.
-func (r *Reducer) onBlocked(k *kindQueue, j *job) {
-	if r.reserve.of(j.spec.ID) != nil {
-		return
-	}
-	if k.urgency <= Urgent && r.entitled(k.team, j.demand()) && r.preemptFor(j) {
-		return
-	}
-	r.reserveFor(k, j)
-}
--- a/core/service.go
+++ b/core/service.go
@@ -189,6 +189,6 @@
 				j.kind = kind
 			}
 		}
-		k.blocked, k.nextRoom, k.shapeOf, k.rankedOf = false, 0, nil, nil
 	}
+	r.touchAll()
 }
--- /dev/null
+++ b/core/shape.go
@@ -0,0 +1,119 @@
+package core
+
+import "math/bits"
+
+// noShape is the shape of a queue whose head has not been looked at.
+const noShape = -1
+
+// shapeKey is the room that a job needs. Jobs of one shape have room or none
+// together, so one fruitless search speaks for all of them.
+type shapeKey struct {
+	need   Resources
+	copies int
+	// runBits is the order of magnitude of the run time. Backfill beside a
+	// reservation may have room for a shorter job alone.
+	runBits int
+	// only is set for a job that must avoid workers or has room reserved. Its
+	// searches say nothing about other jobs.
+	only JobID
+}
+
+// shape remembers that no room was found for jobs of one shape.
+type shape struct {
+	need Resources
+	// blocked is set until a worker has released as much as need.
+	blocked bool
+	// gang is set when several copies are needed. A release may then make room
+	// without being the only one that does, so it is looked at again each tick
+	// and not with each release.
+	gang    bool
+	pending bool
+	users   int
+	key     shapeKey
+}
+
+// shapeTable holds the shapes of the heads of all queues. They are kept together
+// in memory, since each release looks at all of them.
+type shapeTable struct {
+	list  []shape
+	free  []int
+	byKey map[shapeKey]int
+}
+
+func newShapeTable() shapeTable { return shapeTable{byKey: map[shapeKey]int{}} }
+
+// shapeOf returns the key of a job's shape.
+func (r *Reducer) shapeOf(j *job) shapeKey {
+	key := shapeKey{
+		need: j.kind.Request, copies: j.waiting(),
+		runBits: bits.Len64(uint64(r.kinds.runTime(j, backfillPercentile))),
+	}
+	if j.reserved || j.failures > 0 {
+		key.only = j.spec.ID
+	}
+	return key
+}
+
+// acquire returns the place of a shape and counts one more user.
+func (t *shapeTable) acquire(key shapeKey) int {
+	i, ok := t.byKey[key]
+	if !ok {
+		s := shape{need: key.need, gang: key.copies > 1, key: key}
+		if n := len(t.free); n > 0 {
+			i = t.free[n-1]
+			t.free = t.free[:n-1]
+			t.list[i] = s
+		} else {
+			i = len(t.list)
+			t.list = append(t.list, s)
+		}
+		t.byKey[key] = i
+	}
+	t.list[i].users++
+	return i
+}
+
+// release counts one user less and forgets a shape without users.
+func (t *shapeTable) release(i int) {
+	if i == noShape {
+		return
+	}
+	s := &t.list[i]
+	if s.users--; s.users == 0 {
+		delete(t.byKey, s.key)
+		s.blocked = false
+		t.free = append(t.free, i)
+	}
+}
+
+// reopen lets the shapes be tried again that fit into free.
+func (t *shapeTable) reopen(free Resources) {
+	for i := range t.list {
+		s := &t.list[i]
+		if !s.blocked || !s.need.Fits(free) {
+			continue
+		}
+		if s.gang {
+			s.pending = true
+			continue
+		}
+		s.blocked = false
+	}
+}
+
+// reopenAll lets every shape be tried again.
+func (t *shapeTable) reopenAll() {
+	for i := range t.list {
+		t.list[i].blocked, t.list[i].pending = false, false
+	}
+}
+
+// reopenPending lets the shapes of gangs be tried again for which a worker has
+// released room.
+func (t *shapeTable) reopenPending() {
+	for i := range t.list {
+		if s := &t.list[i]; s.pending {
+			s.blocked, s.pending = false, false
+		}
+	}
+}
--- a/core/sync.go
+++ b/core/sync.go
@@ -119,7 +119,7 @@
 	r.grants.noteCalls(r, w, s.CallsInProgress, first)
 	r.fleet.refresh(w)
 	if first {
-		r.fleet.changeAll()
+		r.fleet.release(w)
 		r.settleRestored()
 	}
 	r.syncWorker(w)
--- a/core/team.go
+++ b/core/team.go
@@ -11,20 +11,16 @@
 	version DocumentVersion
 	// used is what the team's tasks and grants hold in this data centre.
 	used Resources
-	// uses counts the changes of used.
-	uses   uint64
+	// queues are those of the team's kinds, and stale is set while their heads
+	// must be computed anew because used has changed.
+	queues []*kindQueue
+	stale  bool
 	queued int
 }
 
 // doc returns the document in force.
 func (t *team) doc() *Document { return &t.version.Document }
 
-// use adds sign times need to what the team uses.
-func (t *team) use(need Resources, sign int64) {
-	t.used = t.used.Add(need.Times(sign))
-	t.uses++
-}
-
 // documents holds the documents in force.
 //
 // Invariant: the revision of a team's document never decreases.
--- a/core/views.go
+++ b/core/views.go
@@ -165,7 +165,7 @@
 	} else {
 		e.Reasons = append(e.Reasons, "its team has used its quota, so it waits for capacity that no other team needs")
 	}
-	if r.reserve.of(j.spec.ID) != nil {
+	if len(r.reserve.of(j.spec.ID)) > 0 {
 		e.Reasons = append(e.Reasons, "room is being gathered for it")
 	}
 	e.Rejected = r.fleet.rejections(&constraint{need: j.kind.Request, job: j.spec.ID, avoid: j.tasks[0].failedOn})
