Index workers by the requests that they have room for

Cause: the tournament tree could not skip subtrees whose free processors and free memory lay on different workers, so a search visited hundreds of nodes or gave up at its budget although a worker had room. Change: for each request that is searched for, a bit per worker says whether it has room. A search is exact; a change of a worker costs one comparison a request.

--- a/core/feasible.go
+++ b/core/feasible.go
@@ -1,13 +1,8 @@
 package core
 
-const (
-	// candidates is how many workers with room are ranked for one task. More
-	// give little better packing for their cost.
-	candidates = 8
-	// searchBudget bounds the index nodes visited for one task, so that a
-	// decision costs about the same in a large cell as in a small one.
-	searchBudget = 400
-)
+// candidates is how many workers with room are ranked for one task. More give
+// little better packing for their cost.
+const candidates = 8
 
 // constraint restricts the workers that a task may be placed on.
 type constraint struct {
@@ -23,16 +18,10 @@
 	endsBy Time
 }
 
-// feasible collects up to candidates workers that satisfy c, starting the search
-// at worker slot from.
-func (f *fleet) feasible(c *constraint, from int, found []*worker) []*worker {
-	budget := searchBudget
-	for at := from; len(found) < candidates && budget > 0; {
-		i := f.index.next(at, c.need, &budget)
-		if i < 0 {
-			break
-		}
-		at = i + 1
+// feasible collects up to candidates workers that satisfy c, in slot order.
+func (f *fleet) feasible(c *constraint, found []*worker) []*worker {
+	room := f.index.find(c.need)
+	for i := room.next(0); i >= 0 && len(found) < candidates; i = room.next(i + 1) {
 		if w := f.workers[i]; c.allows(w) {
 			found = append(found, w)
 		}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -76,6 +76,8 @@
 	usedBy []*team
 	// holds remembers the answers of canEverHold.
 	holds map[holdKey]int64
+	// preemptible counts the placed tasks whose documents allow preemption.
+	preemptible int
 	// takeover is when this host began to fence workers.
 	takeover Time
 }
@@ -193,6 +195,10 @@
 	w.placements[taskKey{j.spec.ID, t.index}] = placement{j, t}
 	f.hold(w, need)
 	f.charge(j.team, need, 1)
+	if j.kind.Preemption != (PreemptionPolicy{}) {
+		t.preemptible = true
+		f.preemptible++
+	}
 }
 
 // unassign returns what a task holds.
@@ -208,6 +214,10 @@
 	delete(w.placements, key)
 	f.hold(w, t.held.Times(-1))
 	f.charge(j.team, t.held, -1)
+	if t.preemptible {
+		t.preemptible = false
+		f.preemptible--
+	}
 	t.held = Resources{}
 }
 
@@ -270,7 +280,7 @@
 		w.health = workerHealth{}
 		f.refresh(w)
 	}
-	f.freedAll = true
+	f.freedAll, f.preemptible = true, 0
 }
 
 // allSettled reports whether every listed worker has answered or is lost.
--- a/core/index.go
+++ b/core/index.go
@@ -1,102 +1,140 @@
 package core
 
-// capacityIndex is a tournament tree over workers. Each inner node holds, in
-// each dimension, the most that any worker below it has free, so that a search
-// skips every subtree in which no worker can fit. An update costs O(log n).
-type capacityIndex struct {
-	// size is the number of leaves, a power of two.
-	size  int
-	nodes []Resources
-}
+import "math/bits"
+
+const (
+	// maxFitSets bounds the requests that the index knows. Each change of a
+	// worker is compared with all of them.
+	maxFitSets = 1024
+	wordBits   = 64
+)
 
 // unusable is the free capacity of a worker that must get no work.
 var unusable = Resources{MilliCPU: -1, MemoryMB: -1, Accelerators: -1, Slots: -1, Connections: -1}
 
+// fitSet holds the workers that have room for one request, a bit each.
+type fitSet struct {
+	bits  []uint64
+	count int
+	// used is the number of the last search.
+	used uint64
+}
+
+// capacityIndex knows for each request that was searched for which workers have
+// room. A search is exact and visits no worker without room; a change of a worker
+// costs one comparison a request.
+type capacityIndex struct {
+	free []Resources
+	// needs and sets are parallel. The requests lie together, since each change
+	// of a worker looks at all of them.
+	needs    []Resources
+	sets     []fitSet
+	byNeed   map[Resources]int
+	searches uint64
+}
+
 // newCapacityIndex returns an index of n workers, none of them usable.
 func newCapacityIndex(n int) capacityIndex {
-	size := 1
-	for size < n {
-		size *= 2
-	}
-	x := capacityIndex{size: size, nodes: make([]Resources, 2*size)}
-	for i := range x.nodes {
-		x.nodes[i] = unusable
+	x := capacityIndex{free: make([]Resources, n), byNeed: map[Resources]int{}}
+	for i := range x.free {
+		x.free[i] = unusable
 	}
 	return x
 }
 
 // set changes the free capacity of worker i.
 func (x *capacityIndex) set(i int, free Resources) {
-	n := x.size + i
-	if x.nodes[n] == free {
+	if x.free[i] == free {
 		return
 	}
-	x.nodes[n] = free
-	for n /= 2; n >= 1; n /= 2 {
-		top := x.nodes[2*n].max(x.nodes[2*n+1])
-		if x.nodes[n] == top {
-			return
+	x.free[i] = free
+	word, bit := i/wordBits, uint64(1)<<(i%wordBits)
+	for n := range x.needs {
+		s := &x.sets[n]
+		has := s.bits[word]&bit != 0
+		if fits := x.needs[n].Fits(free); fits != has {
+			s.bits[word] ^= bit
+			if fits {
+				s.count++
+			} else {
+				s.count--
+			}
 		}
-		x.nodes[n] = top
 	}
 }
 
-// max returns the greater of r and o in each dimension.
-func (r Resources) max(o Resources) Resources {
-	return Resources{
-		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
-		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
-		Accelerators: max(r.Accelerators, o.Accelerators),
-		Slots:        max(r.Slots, o.Slots),
-		Connections:  max(r.Connections, o.Connections),
+// find returns the workers that have room for need.
+func (x *capacityIndex) find(need Resources) *fitSet {
+	x.searches++
+	n, ok := x.byNeed[need]
+	if !ok {
+		n = x.add(need)
 	}
+	x.sets[n].used = x.searches
+	return &x.sets[n]
 }
 
-// largest is the most that any one worker has free in each dimension.
-func (x *capacityIndex) largest() Resources {
-	if len(x.nodes) < 2 {
-		return unusable
+// add compares every worker with a new request. It takes the place of the one
+// that was searched for longest ago if there are too many.
+func (x *capacityIndex) add(need Resources) int {
+	n := len(x.needs)
+	if n < maxFitSets {
+		x.needs, x.sets = append(x.needs, need), append(x.sets, fitSet{})
+	} else {
+		n = 0
+		for i := range x.sets {
+			if x.sets[i].used < x.sets[n].used {
+				n = i
+			}
+		}
+		delete(x.byNeed, x.needs[n])
+		x.needs[n] = need
 	}
-	return x.nodes[1]
+	x.byNeed[need] = n
+	s := fitSet{bits: make([]uint64, (len(x.free)+wordBits-1)/wordBits)}
+	for i := range x.free {
+		if need.Fits(x.free[i]) {
+			s.bits[i/wordBits] |= 1 << (i % wordBits)
+			s.count++
+		}
+	}
+	x.sets[n] = s
+	return n
 }
 
-// next returns the first worker at or after from that has room for need, or -1.
-// budget bounds the nodes that are visited; it is reduced by those that were.
-func (x *capacityIndex) next(from int, need Resources, budget *int) int {
-	if from >= x.size || len(x.nodes) < 2 {
+// next returns the first worker at or after from, or -1.
+func (s *fitSet) next(from int) int {
+	if s.count == 0 || from/wordBits >= len(s.bits) {
 		return -1
 	}
-	n := x.size + from
-	// Climb from the leaf, trying each subtree to the right of the path.
-	if need.Fits(x.nodes[n]) {
-		*budget--
-		return from
+	word := s.bits[from/wordBits] >> (from % wordBits)
+	if word != 0 {
+		return from + bits.TrailingZeros64(word)
 	}
-	for n > 1 {
-		if n%2 == 0 {
-			if i := x.descend(n+1, need, budget); i >= 0 {
-				return i
-			}
-		}
-		n /= 2
-		if *budget <= 0 {
-			return -1
+	for w := from/wordBits + 1; w < len(s.bits); w++ {
+		if s.bits[w] != 0 {
+			return w*wordBits + bits.TrailingZeros64(s.bits[w])
 		}
 	}
 	return -1
 }
 
-// descend returns the leftmost worker below n that has room for need, or -1.
-func (x *capacityIndex) descend(n int, need Resources, budget *int) int {
-	*budget--
-	if *budget <= 0 || !need.Fits(x.nodes[n]) {
-		return -1
-	}
-	if n >= x.size {
-		return n - x.size
+// largest is the most that any one worker has free in each dimension.
+func (x *capacityIndex) largest() Resources {
+	top := unusable
+	for i := range x.free {
+		top = top.max(x.free[i])
 	}
-	if i := x.descend(2*n, need, budget); i >= 0 {
-		return i
+	return top
+}
+
+// max returns the greater of r and o in each dimension.
+func (r Resources) max(o Resources) Resources {
+	return Resources{
+		MilliCPU:     max(r.MilliCPU, o.MilliCPU),
+		MemoryMB:     max(r.MemoryMB, o.MemoryMB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+		Slots:        max(r.Slots, o.Slots),
+		Connections:  max(r.Connections, o.Connections),
 	}
-	return x.descend(2*n+1, need, budget)
 }
--- a/core/job.go
+++ b/core/job.go
@@ -107,6 +107,8 @@
 	resend    Time
 	started   Time
 	throttled bool
+	// preemptible is set while the task counts in fleet.preemptible.
+	preemptible bool
 	// unthrottling is set until the worker confirms the end of throttling.
 	unthrottling bool
 	stopping     bool
--- a/core/preempt.go
+++ b/core/preempt.go
@@ -95,7 +95,7 @@
 func (r *Reducer) planPreemption(c *claim, taken map[WorkerID]bool) (preemptionPlan, bool) {
 	var best preemptionPlan
 	n := len(r.fleet.workers)
-	if n == 0 {
+	if n == 0 || r.fleet.preemptible == 0 {
 		return best, false
 	}
 	from := r.rng.IntN(n)
@@ -192,7 +192,7 @@
 // mayPreempt reports whether work may give way to the claim: it is less urgent,
 // and it belongs to the same team or runs on capacity that its team borrowed.
 func (r *Reducer) mayPreempt(c *claim, p placement) bool {
-	if p.task.state != taskRunning || p.task.stopping || p.job.kind.Urgency <= c.urgency {
+	if !p.task.preemptible || p.task.state != taskRunning || p.task.stopping || p.job.kind.Urgency <= c.urgency {
 		return false
 	}
 	return p.job.team == c.team || !p.job.team.used.withinQuota(p.task.held, p.job.team.doc().Quota)
--- a/core/rank.go
+++ b/core/rank.go
@@ -47,10 +47,8 @@
 	if w := r.reservedWorker(c); w != nil {
 		return w
 	}
-	if c.need.Fits(r.fleet.index.largest()) {
-		if w := r.freeWorker(c, siblings); w != nil {
-			return w
-		}
+	if w := r.freeWorker(c, siblings); w != nil {
+		return w
 	}
 	return r.backfillWorker(c)
 }
@@ -61,7 +59,7 @@
 		return r.fleet.pickSpread(c, siblings)
 	}
 	var buffer [candidates]*worker
-	return r.fleet.rank(c, r.fleet.feasible(c, 0, buffer[:0]), nil)
+	return r.fleet.rank(c, r.fleet.feasible(c, buffer[:0]), nil)
 }
 
 // reservedWorker returns a worker that is reserved for the job and has room.
@@ -114,16 +112,11 @@
 
 // feasibleOne returns the first worker at or after slot from that satisfies c.
 func (f *fleet) feasibleOne(c *constraint, from int) *worker {
-	budget := searchBudget
-	for at := from; budget > 0; {
-		i := f.index.next(at, c.need, &budget)
-		if i < 0 {
-			return nil
-		}
+	room := f.index.find(c.need)
+	for i := room.next(from); i >= 0; i = room.next(i + 1) {
 		if w := f.workers[i]; c.allows(w) {
 			return w
 		}
-		at = i + 1
 	}
 	return nil
 }
