Keep the blocked flags of shapes apart

Cause: each placement reads the flag of every queue's shape, which lay in a large struct. Change: one slice of flags beside the shapes.

--- a/core/fairness.go
+++ b/core/fairness.go
@@ -41,7 +41,7 @@
 	best, first := -1, -1
 	for i := range q.heads {
 		h := &q.heads[i]
-		if q.shapes.list[h.shape].blocked {
+		if q.shapes.blocked[h.shape] {
 			if first < 0 || h.before(&q.heads[first]) {
 				first = i
 			}
--- a/core/room.go
+++ b/core/room.go
@@ -27,7 +27,7 @@
 	for i := range q.heads {
 		h := &q.heads[i]
 		urgent := h.order < (float64(Urgent)+1)*classWidth
-		if !urgent || !q.shapes.list[h.shape].blocked {
+		if !urgent || !q.shapes.blocked[h.shape] {
 			continue
 		}
 		if k := q.busy[i]; r.now >= k.nextRoom && tries < roomsPerStep {
--- a/core/shape.go
+++ b/core/shape.go
@@ -21,8 +21,6 @@
 // shape remembers that no room was found for jobs of one shape.
 type shape struct {
 	need Resources
-	// blocked is set until a worker has released as much as need.
-	blocked bool
 	// gang is set when several copies are needed. A release may then make room
 	// without being the only one that does, so it is looked at again each tick
 	// and not with each release.
@@ -35,9 +33,13 @@
 // shapeTable holds the shapes of the heads of all queues. They are kept together
 // in memory, since each release looks at all of them.
 type shapeTable struct {
-	list  []shape
-	free  []int
-	byKey map[shapeKey]int
+	list []shape
+	// blocked is parallel to list and set from a fruitless search until a
+	// worker has released as much as the shape needs. It is apart because each
+	// placement reads it for every queue.
+	blocked []bool
+	free    []int
+	byKey   map[shapeKey]int
 }
 
 func newShapeTable() shapeTable { return shapeTable{byKey: map[shapeKey]int{}} }
@@ -65,7 +67,7 @@
 			t.list[i] = s
 		} else {
 			i = len(t.list)
-			t.list = append(t.list, s)
+			t.list, t.blocked = append(t.list, s), append(t.blocked, false)
 		}
 		t.byKey[key] = i
 	}
@@ -81,7 +83,7 @@
 	s := &t.list[i]
 	if s.users--; s.users == 0 {
 		delete(t.byKey, s.key)
-		s.blocked = false
+		t.blocked[i] = false
 		t.free = append(t.free, i)
 	}
 }
@@ -90,21 +92,21 @@
 func (t *shapeTable) reopen(free Resources) {
 	for i := range t.list {
 		s := &t.list[i]
-		if !s.blocked || !s.need.Fits(free) {
+		if !t.blocked[i] || !s.need.Fits(free) {
 			continue
 		}
 		if s.gang {
 			s.pending = true
 			continue
 		}
-		s.blocked = false
+		t.blocked[i] = false
 	}
 }
 
 // reopenAll lets every shape be tried again.
 func (t *shapeTable) reopenAll() {
 	for i := range t.list {
-		t.list[i].blocked, t.list[i].pending = false, false
+		t.blocked[i], t.list[i].pending = false, false
 	}
 }
 
@@ -113,7 +115,7 @@
 func (t *shapeTable) reopenPending() {
 	for i := range t.list {
 		if s := &t.list[i]; s.pending {
-			s.blocked, s.pending = false, false
+			t.blocked[i], s.pending = false, false
 		}
 	}
 }
