Make the move of a job to another data centre durable before it is sent

A submit was forwarded to another data centre before anything was durable at home, which then forgot the job: its status was unknown, and a repeated submit could be accepted at home as well.

The job stays in the table in state moved until its deadline and retention have passed; submits, status, waits, explanations and cancellations go to the owner of its data centre, as known when they are sent. The header Banyanrun-Moved-From keeps such a request from going in circles. A request that cannot be delivered is parked for 20 s and refused with not_run only if nothing about the job can have reached the other data centre.

TestFaultsWithTwoDataCentres runs in one region as well.

--- a/core/deadline.go
+++ b/core/deadline.go
@@ -39,6 +39,8 @@
 		if r.now >= j.ended.Add(retention) {
 			r.jobs.forget(j)
 		}
+	case j.state == JobMoved:
+		r.onMovedTimer(j)
 	case j.state == JobAccepting:
 		r.acceptTimedOut(j)
 	case j.state == JobQueued && !j.everStarted() && r.now >= j.startBy():
--- a/core/effect.go
+++ b/core/effect.go
@@ -33,6 +33,11 @@
 		// Verdict is what is known of the request from before. ForwardFailed
 		// carries back at least this.
 		Verdict Verdict
+		// Moved names the job if the request goes to the data centre that the
+		// job was moved to, and Since is when the request came. ForwardFailed
+		// carries both back.
+		Moved JobID
+		Since Time
 	}
 
 	// GetValue reads one key of the store.
--- a/core/event.go
+++ b/core/event.go
@@ -28,7 +28,8 @@
 		Request RequestID
 		Spec    JobSpec
 		// Forwarded is set when another host passed the request on. It is
-		// then not passed on again.
+		// then not passed on again, except for a job that has been moved to
+		// another data centre.
 		Forwarded bool
 	}
 	// CancelRequested asks to cancel a job.
@@ -36,6 +37,8 @@
 		Request   RequestID
 		Job       JobID
 		Forwarded bool
+		// Moved is set when another data centre has moved the job here.
+		Moved bool
 	}
 	// StatusRequested asks for a job's status; with Wait, for its final one.
 	StatusRequested struct {
@@ -44,12 +47,17 @@
 		Wait      bool
 		Explain   bool
 		Forwarded bool
+		// Moved is set when another data centre has moved the job here.
+		Moved bool
 	}
 	// ForwardFailed says that the host a request was forwarded to gave no
 	// whole answer.
 	ForwardFailed struct {
 		Request RequestID
 		Verdict Verdict
+		// Moved and Since are those of the Forward.
+		Moved JobID
+		Since Time
 	}
 	// RequestAbandoned says that a caller no longer waits.
 	RequestAbandoned struct{ Request RequestID }
--- a/core/forward.go
+++ b/core/forward.go
@@ -20,6 +20,9 @@
 	verdict Verdict
 	reason  Reason
 	since   Time
+	// moved names the job if the request waits for the data centre that the
+	// job was moved to.
+	moved JobID
 }
 
 // parkedRequests are in the order of their arrival.
@@ -76,38 +79,28 @@
 	}
 }
 
-// tickParked forwards parked requests once an owner is known and refuses those
-// that have waited too long.
+// tickParked forwards parked requests once it is known who answers them and
+// refuses those that have waited too long.
 func (r *Reducer) tickParked() {
-	if len(r.parked) == 0 {
-		return
-	}
-	if r.ownerKnown() {
-		parked := r.parked
-		r.parked = nil
-		for _, p := range parked {
+	parked := r.parked
+	r.parked = nil
+	for _, p := range parked {
+		j := r.movedJob(p.moved)
+		expired := r.now.Sub(p.since) > parkFor
+		switch {
+		case j != nil && !expired:
+			r.sendMoved(p, j)
+		case j == nil && r.ownerKnown():
 			r.emit(Forward{
 				Request: p.id, Host: r.owner.ownerHost, Address: r.owner.ownerAddress, Verdict: p.verdict,
 			})
-		}
-		return
-	}
-	if r.owner.role == roleOwner {
-		// This host answers itself when it forwards to its own address.
-		parked := r.parked
-		r.parked = nil
-		for _, p := range parked {
+		case j == nil && r.owner.role == roleOwner:
+			// This host answers itself when it forwards to its own address.
 			r.emit(Forward{Request: p.id, Host: r.cfg.Host, Address: r.cfg.Address, Verdict: p.verdict})
+		case expired:
+			r.refuseParked(&p)
+		default:
+			r.parked = append(r.parked, p)
 		}
-		return
-	}
-	n := 0
-	for n < len(r.parked) && r.now.Sub(r.parked[n].since) > parkFor {
-		p := r.parked[n]
-		ref := refuse(p.reason, "no host schedules %s at the moment; ask again", r.cfg.DataCentre)
-		ref.Verdict, ref.RetryAfter = p.verdict, time.Second
-		r.refuse(p.id, ref, "", "")
-		n++
 	}
-	r.parked = r.parked[n:]
 }
--- a/core/job.go
+++ b/core/job.go
@@ -32,6 +32,8 @@
 	JobRunning
 	// JobSettling waits to learn from a worker whether it ran.
 	JobSettling
+	// JobMoved is left to another data centre, which knows its state.
+	JobMoved
 	// JobSucceeded has run with success.
 	JobSucceeded
 	// JobFailed has ended without success; the refusal says why.
@@ -43,7 +45,7 @@
 )
 
 var jobStateNames = [...]string{
-	"accepting", "queued", "starting", "running", "settling",
+	"accepting", "queued", "starting", "running", "settling", "moved",
 	"succeeded", "failed", "cancelled", "refused",
 }
 
@@ -153,8 +155,16 @@
 	failures   int
 	// rack is that of a replica's worker.
 	rack string
-	// journaled is set once the accept record is in the journal.
+	// journaled is set once the accept record, or that of the move, is in the
+	// journal.
 	journaled bool
+	// movedTo is the data centre that the job goes to, or empty.
+	movedTo DataCentre
+	// movedUntil is when a moved job is forgotten.
+	movedUntil Time
+	// copiesSent counts the requests about a moved job that may have reached
+	// its data centre.
+	copiesSent int
 }
 
 // ref returns the reference of the current attempt of t.
--- a/core/jobtable.go
+++ b/core/jobtable.go
@@ -126,7 +126,7 @@
 // recordUnsent reports whether the job's accept record waits to be sent.
 func (r *Reducer) recordUnsent(id JobID) bool {
 	for i := range r.journal.open {
-		if rec := &r.journal.open[i]; rec.Job == id && rec.Kind == RecordAccepted && !rec.Copy {
+		if rec := &r.journal.open[i]; rec.Job == id && (rec.Kind == RecordAccepted || rec.Kind == RecordMoved) && !rec.Copy {
 			return true
 		}
 	}
--- a/core/journal.go
+++ b/core/journal.go
@@ -94,7 +94,7 @@
 	dropped := false
 	for _, rec := range r.journal.open {
 		if rec.Job == id {
-			dropped = dropped || rec.Kind == RecordAccepted
+			dropped = dropped || rec.Kind == RecordAccepted || rec.Kind == RecordMoved
 			r.journal.openBytes -= rec.size()
 			continue
 		}
@@ -236,6 +236,8 @@
 	switch rec.Kind {
 	case RecordAccepted:
 		r.onAccepted(job)
+	case RecordMoved:
+		r.onMoveDurable(job)
 	case RecordAssigned:
 		r.onAssignmentDurable(job, rec.Task)
 	case RecordFinished:
@@ -305,8 +307,12 @@
 // copyJob appends what a successor needs to know about a job.
 func (r *Reducer) copyJob(j *job) {
 	var records []Record
-	spec := j.spec
-	records = append(records, Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec})
+	if j.movedTo != "" {
+		records = append(records, j.movedRecord(r.now))
+	} else {
+		spec := j.spec
+		records = append(records, Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec})
+	}
 	if j.state.Final() {
 		records = append(records, j.finishedRecord())
 	}
--- a/core/journal_record.go
+++ b/core/journal_record.go
@@ -14,21 +14,27 @@
 	RecordReleased
 	// RecordFinished is the final outcome of a job.
 	RecordFinished
+	// RecordMoved says that a job goes to another data centre. Nothing was
+	// sent there before this record was durable.
+	RecordMoved
 )
 
 // Record is one entry of the journal.
 type Record struct {
 	Kind RecordKind
 	Job  JobID
-	// Spec is set in RecordAccepted.
+	// Spec is set in RecordAccepted and RecordMoved, there without payload.
 	Spec *JobSpec
+	// To is the data centre in RecordMoved.
+	To DataCentre
 	// Task, Worker, Incarnation and Checkpoint are set in RecordAssigned and
 	// RecordReleased.
 	Task        TaskRef
 	Worker      WorkerID
 	Incarnation uint64
 	Checkpoint  string
-	// State, Refusal, Result and At are set in RecordFinished.
+	// State, Refusal, Result and At are set in RecordFinished, and At in
+	// RecordMoved as well.
 	State   JobState
 	Refusal *Refusal
 	Result  []byte
--- /dev/null
+++ b/core/moved.go
@@ -0,0 +1,180 @@
+package core
+
+import "time"
+
+// move appends the durable record that a job goes to another data centre. Nothing
+// is sent there before the record is durable, so neither this owner nor a
+// successor accepts a repeated submit of the job here.
+func (r *Reducer) move(s Submitted, kind *Kind, to DataCentre) {
+	j := r.newJob(s.Spec, kind)
+	j.movedTo = to
+	j.submitters = []RequestID{s.Request}
+	r.jobs.add(j)
+	r.jobs.waiting[s.Request] = j.spec.ID
+	r.jobs.schedule(j)
+	j.team.queued++
+	r.appendRecord(j.movedRecord(r.now))
+}
+
+// movedRecord is the journal record of a job that goes to another data centre.
+// The payload is left out: a repeated submit brings it along.
+func (j *job) movedRecord(now Time) Record {
+	spec := j.spec
+	spec.Payload = nil
+	return Record{Kind: RecordMoved, Job: spec.ID, Spec: &spec, To: j.movedTo, At: now}
+}
+
+// onMoveDurable forwards everyone who waits for a job whose move is durable. A
+// job that was cancelled before ends here, since nothing was sent.
+func (r *Reducer) onMoveDurable(j *job) {
+	if j.journaled {
+		return
+	}
+	j.journaled = true
+	if j.cancelled {
+		r.endUnstarted(j)
+		return
+	}
+	r.becomeMoved(j)
+	r.jobs.note(j, r.now, "moved to data centre "+string(j.movedTo), "")
+	open := append(j.submitters, j.waiters...)
+	j.submitters, j.waiters = nil, nil
+	for _, id := range open {
+		delete(r.jobs.waiting, id)
+		r.forwardMoved(j, id)
+	}
+}
+
+// becomeMoved leaves a job to another data centre. No task of it runs here.
+func (r *Reducer) becomeMoved(j *job) {
+	j.state, j.spec.Payload = JobMoved, nil
+	for i := range j.tasks {
+		j.tasks[i].state = taskDone
+	}
+	r.keepMoved(j)
+}
+
+// keepMoved keeps a moved job for as long as a submit that is forwarded now may
+// be known at its data centre.
+func (r *Reducer) keepMoved(j *job) {
+	j.movedUntil = r.now.Add(parkFor + j.kind.Deadline + retention)
+}
+
+// restoreMoved brings back a job that an earlier owner has moved.
+func (r *Reducer) restoreMoved(rec *Record) {
+	j := r.newJob(*rec.Spec, r.docs.kind(rec.Spec.Team, rec.Spec.Kind))
+	j.journaled, j.movedTo = true, rec.To
+	j.copiesSent = 1 // The earlier owner may have sent one.
+	r.jobs.add(j)
+	r.becomeMoved(j)
+	r.jobs.timers.add(j.movedUntil, j.spec.ID)
+}
+
+// onMovedTimer forgets a moved job when its time has passed.
+func (r *Reducer) onMovedTimer(j *job) {
+	if r.now < j.movedUntil {
+		r.jobs.timers.add(j.movedUntil, j.spec.ID)
+		return
+	}
+	r.jobs.unfinished--
+	if j.team != nil {
+		j.team.queued--
+	}
+	r.jobs.forget(j)
+}
+
+// forwardMoved passes a request about a moved job on to the job's data centre.
+func (r *Reducer) forwardMoved(j *job, id RequestID) {
+	r.keepMoved(j)
+	r.sendMoved(parkedRequest{id: id, reason: ReasonPeer, moved: j.spec.ID, since: r.now}, j)
+}
+
+// sendMoved forwards the request if the owner of the job's data centre is known
+// now, and otherwise parks it.
+func (r *Reducer) sendMoved(p parkedRequest, j *job) {
+	m := r.remoteOf(j.movedTo)
+	if m == nil || r.now.Sub(m.heard) > remoteSilence {
+		r.parkMoved(p)
+		return
+	}
+	j.copiesSent++
+	r.emit(Forward{
+		Request: p.id, Host: m.summary.From, Address: m.summary.Address,
+		Moved: p.moved, Since: p.since,
+	})
+}
+
+// parkMoved lets a request wait for the owner of a moved job's data centre.
+func (r *Reducer) parkMoved(p parkedRequest) {
+	if len(r.parked) >= maxParked {
+		r.refuseParked(&p)
+		return
+	}
+	r.parked = append(r.parked, p)
+}
+
+// onForwardFailed parks a request that the other host did not answer.
+func (r *Reducer) onForwardFailed(f ForwardFailed) {
+	if f.Moved == "" {
+		r.park(f.Request, f.Verdict, ReasonPeer)
+		return
+	}
+	if j := r.movedJob(f.Moved); j != nil && f.Verdict == NotRun {
+		j.copiesSent--
+	}
+	r.parkMoved(parkedRequest{
+		id: f.Request, verdict: MayHaveRun, reason: ReasonPeer, moved: f.Moved, since: f.Since,
+	})
+}
+
+// movedJob returns a job that has been moved, or nil.
+func (r *Reducer) movedJob(id JobID) *job {
+	if j := r.jobs.get(id); j != nil && j.state == JobMoved {
+		return j
+	}
+	return nil
+}
+
+// refuseParked refuses a request that has waited too long. For a moved job the
+// verdict is that of the job: another request may have brought it to its data
+// centre.
+func (r *Reducer) refuseParked(p *parkedRequest) {
+	ref := refuse(p.reason, "no host schedules %s at the moment; ask again", r.cfg.DataCentre)
+	ref.Verdict, ref.RetryAfter = p.verdict, time.Second
+	if j := r.movedJob(p.moved); j != nil {
+		ref = refuse(p.reason, "job %q was moved to data centre %s, which cannot be reached; ask again",
+			j.spec.ID, j.movedTo)
+		ref.RetryAfter = time.Second
+		if j.copiesSent > 0 {
+			ref.Verdict = MayHaveRun
+		}
+	}
+	r.refuse(p.id, ref, "", "")
+}
+
+// refuseMovedBack refuses a request that another data centre has passed on for a
+// job that was moved away from here as well, so that it does not go in circles.
+func (r *Reducer) refuseMovedBack(request RequestID, j *job) {
+	ref := refuse(ReasonDuplicateID, "job %q was submitted in two data centres; this one moved it to %s",
+		j.spec.ID, j.movedTo)
+	ref.Verdict = MayHaveRun
+	r.refuse(request, ref, j.spec.Team, j.spec.Kind)
+}
+
+// answerMoved takes a request about a moved job, and reports whether it did.
+func (r *Reducer) answerMoved(request RequestID, j *job, fromOther bool) bool {
+	if j == nil || j.state != JobMoved {
+		return false
+	}
+	if fromOther {
+		r.refuseMovedBack(request, j)
+	} else {
+		r.forwardMoved(j, request)
+	}
+	return true
+}
+
+// fromOther reports whether another data centre has moved the job here.
+func (r *Reducer) fromOther(spec *JobSpec) bool {
+	return spec.Origin != "" && spec.Origin != r.cfg.DataCentre
+}
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -114,6 +114,10 @@
 		if j == nil && rec.Spec != nil {
 			r.restoreJob(*rec.Spec)
 		}
+	case RecordMoved:
+		if j == nil && rec.Spec != nil {
+			r.restoreMoved(rec)
+		}
 	case RecordAssigned:
 		if j != nil && rec.Task.Task < len(j.tasks) {
 			r.restoreAssignment(j, rec)
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -140,7 +140,7 @@
 	case StatusRequested:
 		r.onStatusRequested(b)
 	case ForwardFailed:
-		r.park(b.Request, b.Verdict, ReasonPeer)
+		r.onForwardFailed(b)
 	case RequestAbandoned:
 		r.jobs.abandon(b.Request)
 		r.parked.remove(b.Request)
--- a/core/route.go
+++ b/core/route.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// sendElsewhere forwards a submit to another data centre when waiting here costs
-// more. Within the region that is when the wait there is shorter by more than the
+// sendElsewhere moves a job to another data centre when waiting here costs more. Within the region that is when the wait there is shorter by more than the
 // round trip. Across regions the link is paid for, so it is used only for a kind
 // that allows it, and only to keep a start deadline that would be missed here.
 func (r *Reducer) sendElsewhere(s Submitted, kind *Kind) bool {
@@ -66,7 +65,7 @@
 		}
 		there := m.summary.Wait[kind.Urgency]
 		if r.worthMoving(kind, m, here, there) {
-			r.emit(Forward{Request: s.Request, Host: m.summary.From, Address: m.summary.Address})
+			r.move(s, kind, m.summary.DataCentre)
 			r.count(MetricForwarded, "", s.Spec.Team, s.Spec.Kind)
 			return true
 		}
--- a/core/submit.go
+++ b/core/submit.go
@@ -28,7 +28,7 @@
 		r.refuse(s.Request, ref, s.Spec.Team, s.Spec.Kind)
 		return
 	}
-	if !s.Forwarded && r.sendElsewhere(s, kind) {
+	if !s.Forwarded && !r.fromOther(&s.Spec) && r.sendElsewhere(s, kind) {
 		return
 	}
 	j := r.newJob(s.Spec, kind)
@@ -48,6 +48,9 @@
 			"job %q was submitted before with other content", s.Spec.ID), s.Spec.Team, s.Spec.Kind)
 		return
 	}
+	if r.answerMoved(s.Request, j, r.fromOther(&s.Spec)) {
+		return
+	}
 	if j.state == JobAccepting {
 		j.submitters = append(j.submitters, s.Request)
 		r.jobs.waiting[s.Request] = j.spec.ID
@@ -88,9 +91,13 @@
 	return ref
 }
 
-// unknownJob refuses a request about a job that is not known here.
-func (r *Reducer) unknownJob(request RequestID, id JobID) {
+// unknownJob refuses a request about a job that is not known here. The submit of
+// a job that another data centre moves here may still be on its way.
+func (r *Reducer) unknownJob(request RequestID, id JobID, moved bool) {
 	ref := refuse(ReasonUnknownJob, "job %q is not known", id)
+	if moved {
+		ref.Verdict = MayHaveRun
+	}
 	if r.owner.role == roleStandby {
 		ref = withoutJournal()
 	}
@@ -195,7 +202,10 @@
 	}
 	j := r.jobs.get(c.Job)
 	if j == nil || j.service != "" {
-		r.unknownJob(c.Request, c.Job)
+		r.unknownJob(c.Request, c.Job, c.Moved)
+		return
+	}
+	if r.answerMoved(c.Request, j, c.Moved) {
 		return
 	}
 	if j.settled() {
@@ -230,7 +240,8 @@
 	j := r.jobs.get(s.Job)
 	switch {
 	case j == nil:
-		r.unknownJob(s.Request, s.Job)
+		r.unknownJob(s.Request, s.Job, s.Moved)
+	case r.answerMoved(s.Request, j, s.Moved):
 	case s.Explain:
 		r.emit(Reply{Request: s.Request, Explain: r.explain(j)})
 	case s.Wait && !j.settled():
--- a/core/views.go
+++ b/core/views.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // onViewRequested answers one of the operators' views.
 func (r *Reducer) onViewRequested(v ViewRequested) {
@@ -133,9 +136,16 @@
 	if j.refusal != nil {
 		e.Reasons = append(e.Reasons, j.refusal.Message)
 	}
+	if r.fromOther(&j.spec) {
+		e.Reasons = append(e.Reasons, fmt.Sprintf("it was submitted in data centre %s and moved to %s",
+			j.spec.Origin, r.cfg.DataCentre))
+	}
 	switch j.state {
 	case JobAccepting:
 		e.Reasons = append(e.Reasons, "its record in the journal is not durable yet")
+		if j.movedTo != "" {
+			e.Reasons = append(e.Reasons, "it is then moved to data centre "+string(j.movedTo))
+		}
 	case JobSettling:
 		e.Reasons = append(e.Reasons, "a former owner may have started it; not every worker has answered yet")
 	case JobQueued:
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -85,6 +85,9 @@
 		writeRefusal(w, ref)
 		return
 	}
+	if from := movedFrom(r); from != "" {
+		spec.Origin = core.DataCentre(from)
+	}
 	if ref := d.permit(r, core.ActionSubmit, spec.Team); ref != nil {
 		d.forbid(w, ref)
 		return
@@ -192,7 +195,7 @@
 
 // askJob asks the reducer about one job.
 func (d *Daemon) askJob(w http.ResponseWriter, r *http.Request, p httprouter.Params, ask core.StatusRequested, q question) {
-	ask.Job, ask.Forwarded = core.JobID(p.ByName("id")), isForwarded(r)
+	ask.Job, ask.Forwarded, ask.Moved = core.JobID(p.ByName("id")), isForwarded(r), movedFrom(r) != ""
 	q.event = func(id core.RequestID) core.EventBody {
 		ask.Request = id
 		return ask
@@ -234,6 +237,7 @@
 		event: func(id core.RequestID) core.EventBody {
 			return core.StatusRequested{
 				Request: id, Job: core.JobID(p.ByName("id")), Forwarded: isForwarded(r),
+				Moved: movedFrom(r) != "",
 			}
 		},
 		answer: func(reply core.Reply) {
@@ -256,6 +260,7 @@
 		event: func(id core.RequestID) core.EventBody {
 			return core.CancelRequested{
 				Request: id, Job: core.JobID(p.ByName("id")), Forwarded: isForwarded(r),
+				Moved: movedFrom(r) != "",
 			}
 		},
 		answer: func(reply core.Reply) { writeStatus(w, http.StatusOK, reply) },
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -124,6 +124,12 @@
 		return false, core.NotRun
 	}
 	req.Header.Set(wire.HeaderForwarded, d.set.Host)
+	switch {
+	case f.Moved != "":
+		req.Header.Set(wire.HeaderMovedFrom, d.set.DataCentre)
+	case o.movedFrom != "":
+		req.Header.Set(wire.HeaderMovedFrom, o.movedFrom)
+	}
 	if o.identity != "" {
 		req.Header.Set(wire.HeaderForwardedFor, o.identity)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -30,11 +30,17 @@
 	requestID string
 	// identity is the caller's, for the header HeaderForwardedFor.
 	identity string
+	// movedFrom is the data centre that has moved the job, or empty.
+	movedFrom string
 }
 
 // isForwarded reports whether another entry host passed the request on.
 func isForwarded(r *http.Request) bool { return r.Header.Get(wire.HeaderForwarded) != "" }
 
+// movedFrom returns the data centre that has moved the request's job here, or an
+// empty name.
+func movedFrom(r *http.Request) string { return r.Header.Get(wire.HeaderMovedFrom) }
+
 // question is a request that the reducer answers.
 type question struct {
 	// body is the caller's body, for forwarding.
@@ -60,7 +66,7 @@
 		writeRefusal(w, &core.Refusal{Reason: core.ReasonDraining, Message: "host is stopping"})
 		return
 	}
-	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body, identity: d.encodeIdentity(r)}
+	o := &original{method: r.Method, path: r.URL.RequestURI(), body: q.body, identity: d.encodeIdentity(r), movedFrom: movedFrom(r)}
 	for {
 		select {
 		case f := <-replies:
@@ -73,7 +79,9 @@
 			if done {
 				return
 			}
-			d.post(ctx, core.ForwardFailed{Request: id, Verdict: max(verdict, forward.Verdict)})
+			d.post(ctx, core.ForwardFailed{
+				Request: id, Verdict: max(verdict, forward.Verdict), Moved: forward.Moved, Since: forward.Since,
+			})
 		case <-ctx.Done():
 			d.post(context.WithoutCancel(r.Context()), core.RequestAbandoned{Request: id})
 			if q.expired != nil && r.Context().Err() == nil {
--- a/virtual/callers.go
+++ b/virtual/callers.go
@@ -158,7 +158,7 @@
 // request sends a caller's request; ok is false if the connection broke.
 func (c *Cluster) request(h *host, event eventFor, done func(reply core.Reply, ok bool)) {
 	c.ask(Callers, Party(h.id), 2*requestWait, func(id uint64) {
-		h.runIn(h.life, func() { h.serve(id, event, false) })
+		h.runIn(h.life, func() { h.serve(id, event, false, false) })
 	}, func(body any, f failure) {
 		reply, _ := body.(core.Reply)
 		done(reply, f == answered)
--- a/virtual/host.go
+++ b/virtual/host.go
@@ -48,6 +48,8 @@
 type request struct {
 	exchange uint64
 	event    eventFor
+	// moved is set when another data centre has moved the job here.
+	moved bool
 }
 
 // eventFor builds the event of a request for the host that serves it.
@@ -206,10 +208,10 @@
 }
 
 // serve opens a request of a caller or of another host.
-func (h *host) serve(exchange uint64, event eventFor, forwarded bool) {
+func (h *host) serve(exchange uint64, event eventFor, forwarded, moved bool) {
 	h.last++
 	id := h.last
-	h.requests[id] = &request{exchange: exchange, event: event}
+	h.requests[id] = &request{exchange: exchange, event: event, moved: moved}
 	h.after(requestWait, func() {
 		if h.requests[id] == nil {
 			return
@@ -219,7 +221,21 @@
 			Reason: core.ReasonDeadline, Verdict: core.MayHaveRun, Message: "no answer yet",
 		}})
 	})
-	h.post(event(id, forwarded))
+	h.post(asMoved(event(id, forwarded), moved))
+}
+
+// asMoved marks a request that another data centre has passed on. A submit shows
+// it by the origin of its job.
+func asMoved(body core.EventBody, moved bool) core.EventBody {
+	switch b := body.(type) {
+	case core.CancelRequested:
+		b.Moved = moved
+		return b
+	case core.StatusRequested:
+		b.Moved = moved
+		return b
+	}
+	return body
 }
 
 // forward passes a request on to another host.
@@ -231,7 +247,7 @@
 	h.c.counts.Forwards++
 	target := h.c.hosts[core.HostID(f.Address)]
 	h.c.ask(Party(h.id), Party(f.Address), forwardWait, func(id uint64) {
-		target.runIn(target.life, func() { target.serve(id, req.event, true) })
+		target.runIn(target.life, func() { target.serve(id, req.event, true, req.moved || f.Moved != "") })
 	}, func(body any, fail failure) {
 		if h.requests[f.Request] == nil {
 			return
@@ -239,9 +255,9 @@
 		reply, ok := body.(core.Reply)
 		switch {
 		case fail == broken:
-			h.post(core.ForwardFailed{Request: f.Request, Verdict: core.MayHaveRun})
+			h.forwardFailed(f, core.MayHaveRun)
 		case !ok || reply.Refusal != nil && reply.Refusal.Reason == core.ReasonNoOwner:
-			h.post(core.ForwardFailed{Request: f.Request, Verdict: f.Verdict})
+			h.forwardFailed(f, f.Verdict)
 		default:
 			reply.Request = f.Request
 			h.reply(reply)
@@ -249,6 +265,11 @@
 	})
 }
 
+// forwardFailed tells the reducer that the other host gave no whole answer.
+func (h *host) forwardFailed(f core.Forward, v core.Verdict) {
+	h.post(core.ForwardFailed{Request: f.Request, Verdict: v, Moved: f.Moved, Since: f.Since})
+}
+
 // carryOutStore carries out messages to peers and operations of the store.
 func (h *host) carryOutStore(f core.Effect) {
 	c := h.c
--- a/virtual/property_test.go
+++ b/virtual/property_test.go
@@ -327,9 +327,18 @@
 	checkFaults(t, testConfig(), allFaults())
 }
 
-// Guards against faults of the links and messages between data centres.
+// Guards against faults of the links and messages between data centres, and
+// against a job that is lost, doubled or wrongly denied when it moves from one to
+// the other, which within a region happens as soon as the wait there is shorter.
 func TestFaultsWithTwoDataCentres(t *testing.T) {
-	cfg := testConfig()
-	cfg.Cells = []Cell{testCell("a", "r", 2, 2), testCell("b", "r2", 2, 2)}
-	checkFaults(t, cfg, allFaults())
+	for _, tc := range []struct{ name, other string }{
+		{"in two regions", "r2"},
+		{"in one region", "r"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Cells = []Cell{testCell("a", "r", 2, 2), testCell("b", tc.other, 2, 2)}
+			checkFaults(t, cfg, allFaults())
+		})
+	}
 }
--- a/wire/worker.go
+++ b/wire/worker.go
@@ -28,6 +28,9 @@
 	HeaderReason    = "Banyanrun-Reason"
 	HeaderWorker    = "Banyanrun-Worker"
 	HeaderForwarded = "Banyanrun-Forwarded"
+	// HeaderMovedFrom names the data centre that has moved a job to this one. It
+	// stands in every request about the job that this data centre passes on.
+	HeaderMovedFrom = "Banyanrun-Moved-From"
 	// HeaderForwardedFor is the JSON form of the core.Identity whose request
 	// an entry host forwards.
 	HeaderForwardedFor = "Banyanrun-Forwarded-For"
