Drop unsent accept records in constant time and count them as waiting

Cancelling a job whose accept record was not sent, and the verdict of its requests on a step down, scanned all open records, so that a wave of cancellations cost the square of its size. The job now points to its open record; a dropped one is marked, passed over by takeGroup, and removed once half of the records are dropped.

admitQueue counted queued jobs only, so an outage of the store let jobs that wait for their record fill the memory. They now count towards the queue limit of their kind.

--- a/core/deadline.go
+++ b/core/deadline.go
@@ -57,7 +57,7 @@
 
 // acceptTimedOut answers a submit whose journal record is not durable in time.
 func (r *Reducer) acceptTimedOut(j *job) {
-	if r.dropOpenRecords(j.spec.ID) {
+	if r.dropAccept(j) {
 		r.endUnstartedBecause(j, ReasonStoreUnavailable, "could not be made durable in time")
 		return
 	}
--- a/core/forward.go
+++ b/core/forward.go
@@ -70,7 +70,7 @@
 func (r *Reducer) parkOpenRequests(reason Reason) {
 	for _, j := range r.jobs.ordered() {
 		v := MayHaveRun
-		if j.state == JobAccepting && r.recordUnsent(j.spec.ID) {
+		if j.acceptUnsent() {
 			v = NotRun
 		}
 		for _, id := range append(j.submitters, j.waiters...) {
--- a/core/job.go
+++ b/core/job.go
@@ -158,6 +158,11 @@
 	// journaled is set once the accept record, or that of the move, is in the
 	// journal.
 	journaled bool
+	// accept is the open accept record, or that of the move. It is nil once
+	// the record is durable or dropped.
+	accept *openRecord
+	// accepting is set while the job is counted in jobTable.accepting.
+	accepting bool
 	// movedTo is the data centre that the job goes to, or empty.
 	movedTo DataCentre
 	// movedUntil is when a moved job is forgotten.
--- a/core/jobtable.go
+++ b/core/jobtable.go
@@ -24,6 +24,8 @@
 	waiting map[RequestID]JobID
 	// services holds the replicas of long-running services.
 	services map[serviceKey][]*job
+	// accepting counts the jobs of each kind whose accept record is not durable.
+	accepting map[queueKey]int
 	// unfinished counts jobs that are not final.
 	unfinished int
 }
@@ -31,7 +33,7 @@
 func newJobTable() jobTable {
 	return jobTable{
 		byID: map[JobID]*job{}, waiting: map[RequestID]JobID{},
-		services: map[serviceKey][]*job{},
+		services: map[serviceKey][]*job{}, accepting: map[queueKey]int{},
 	}
 }
 
@@ -42,6 +44,25 @@
 	t.unfinished++
 }
 
+// beginAccepting counts a submitted job as one whose record is not durable.
+func (t *jobTable) beginAccepting(j *job, accept *openRecord) {
+	j.accept, j.accepting = accept, true
+	t.accepting[queueKey{j.spec.Team, j.spec.Kind}]++
+}
+
+// endAccepting ends what beginAccepting began, once the record is durable or
+// dropped.
+func (t *jobTable) endAccepting(j *job) {
+	if !j.accepting {
+		return
+	}
+	j.accept, j.accepting = nil, false
+	key := queueKey{j.spec.Team, j.spec.Kind}
+	if t.accepting[key]--; t.accepting[key] == 0 {
+		delete(t.accepting, key)
+	}
+}
+
 // schedule sets the next time at which the job needs a look.
 func (t *jobTable) schedule(j *job) {
 	switch {
@@ -122,13 +143,3 @@
 	}
 	return j
 }
-
-// recordUnsent reports whether the job's accept record waits to be sent.
-func (r *Reducer) recordUnsent(id JobID) bool {
-	for i := range r.journal.open {
-		if rec := &r.journal.open[i]; rec.Job == id && (rec.Kind == RecordAccepted || rec.Kind == RecordMoved) && !rec.Copy {
-			return true
-		}
-	}
-	return false
-}
--- a/core/journal.go
+++ b/core/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -37,6 +38,14 @@
 	journalReadBackLater
 )
 
+// openRecord is a record that is not sent yet. A job whose accept record is open
+// points to it, so that a cancellation costs the same however many are open.
+type openRecord struct {
+	Record
+	// waits is set until the record is sent or dropped.
+	waits bool
+}
+
 // writtenGroup is a group in the store.
 type writtenGroup struct {
 	sequence uint64
@@ -49,7 +58,10 @@
 // Invariant: at most one group is in flight, and its sequence is one above that
 // of the last group known to be written.
 type journal struct {
-	open      []Record
+	// open holds the records of the next groups, dropped ones included.
+	open []*openRecord
+	// dropped counts the dropped records in open.
+	dropped   int
 	openBytes int
 	inFlight  *JournalGroup
 	phase     journalPhase
@@ -82,26 +94,41 @@
 }
 
 // appendRecord adds a record to the next group.
-func (r *Reducer) appendRecord(rec Record) {
-	r.journal.open = append(r.journal.open, rec)
+func (r *Reducer) appendRecord(rec Record) *openRecord {
+	o := &openRecord{Record: rec, waits: true}
+	r.journal.open = append(r.journal.open, o)
 	r.journal.openBytes += rec.size()
+	return o
 }
 
-// dropOpenRecords removes the records of a job that were not sent. It reports
-// whether an accept record was among them.
-func (r *Reducer) dropOpenRecords(id JobID) bool {
-	kept := r.journal.open[:0]
-	dropped := false
-	for _, rec := range r.journal.open {
-		if rec.Job == id {
-			dropped = dropped || rec.Kind == RecordAccepted || rec.Kind == RecordMoved
-			r.journal.openBytes -= rec.size()
-			continue
-		}
-		kept = append(kept, rec)
+// openRecords is the number of records that wait to be sent.
+func (j *journal) openRecords() int { return len(j.open) - j.dropped }
+
+// acceptUnsent reports whether the job's accept record, or that of its move, waits
+// to be sent.
+func (j *job) acceptUnsent() bool { return j.accept != nil && j.accept.waits }
+
+// dropAccept removes the job's accept record, or that of its move, if it was not
+// sent, and reports whether it did. Such a job has no other record.
+func (r *Reducer) dropAccept(j *job) bool {
+	if !j.acceptUnsent() {
+		return false
+	}
+	r.journal.drop(j.accept)
+	j.accept = nil
+	return true
+}
+
+// drop marks an open record as dropped. Dropped records leave the list when they
+// are more than half of it, which costs constant time for each.
+func (j *journal) drop(o *openRecord) {
+	j.openBytes -= o.size()
+	*o = openRecord{}
+	j.dropped++
+	if j.dropped > len(j.open)/2 {
+		j.open = slices.DeleteFunc(j.open, func(o *openRecord) bool { return !o.waits })
+		j.dropped = 0
 	}
-	r.journal.open = kept
-	return dropped
 }
 
 // refill adds the tokens that have accrued since the last call.
@@ -126,7 +153,7 @@
 	}
 	j.refill(r.now)
 	if j.inFlight == nil {
-		if len(j.open) == 0 || j.tokens < 1 {
+		if j.openRecords() == 0 || j.tokens < 1 {
 			return
 		}
 		r.takeGroup()
@@ -141,15 +168,26 @@
 func (r *Reducer) takeGroup() {
 	j := &r.journal
 	n, bytes := 0, 0
-	for n < len(j.open) && (n == 0 || bytes+j.open[n].size() <= maxGroupBytes) {
-		bytes += j.open[n].size()
+	var records []Record
+	for _, o := range j.open {
+		if !o.waits {
+			j.dropped--
+			n++
+			continue
+		}
+		size := o.size()
+		if len(records) > 0 && bytes+size > maxGroupBytes {
+			break
+		}
+		records = append(records, o.Record)
+		o.waits = false
+		bytes += size
 		n++
 	}
 	j.inFlight = &JournalGroup{
-		Epoch: r.owner.epoch, Sequence: j.sequence + 1, ID: r.rng.Uint64(),
-		Records: append([]Record(nil), j.open[:n]...),
+		Epoch: r.owner.epoch, Sequence: j.sequence + 1, ID: r.rng.Uint64(), Records: records,
 	}
-	j.open = append([]Record(nil), j.open[n:]...)
+	j.open = append([]*openRecord(nil), j.open[n:]...)
 	j.openBytes -= bytes
 }
 
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -282,6 +282,7 @@
 	if j.state.Final() {
 		return
 	}
+	r.jobs.endAccepting(j)
 	r.queues.remove(j)
 	r.reserve.drop(r, j.spec.ID)
 	j.state, j.refusal, j.ended = state, ref, r.now
--- a/core/moved.go
+++ b/core/moved.go
@@ -13,7 +13,7 @@
 	r.jobs.waiting[s.Request] = j.spec.ID
 	r.jobs.schedule(j)
 	j.team.queued++
-	r.appendRecord(j.movedRecord(r.now))
+	r.jobs.beginAccepting(j, r.appendRecord(j.movedRecord(r.now)))
 }
 
 // movedRecord is the journal record of a job that goes to another data centre.
@@ -31,6 +31,7 @@
 		return
 	}
 	j.journaled = true
+	r.jobs.endAccepting(j)
 	if j.cancelled {
 		r.endUnstarted(j)
 		return
--- a/core/submit.go
+++ b/core/submit.go
@@ -38,7 +38,8 @@
 	r.jobs.schedule(j)
 	j.team.queued++
 	spec := j.spec
-	r.appendRecord(Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec, At: r.now})
+	r.jobs.beginAccepting(j, r.appendRecord(
+		Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec, At: r.now}))
 }
 
 // onRepeatedSubmit answers a submit of an id that is known.
@@ -119,17 +120,19 @@
 	return nil
 }
 
-// admitQueue bounds the queue of a kind and refuses early what would surely not
-// start in time.
+// admitQueue bounds the waiting jobs of a kind and refuses early what would surely
+// not start in time. Jobs whose record is not durable yet count as waiting: they
+// would fill the memory during an outage of the store.
 func (r *Reducer) admitQueue(t *team, kind *Kind) *Refusal {
-	k := r.queues.byKey[queueKey{t.name, kind.Name}]
-	if k == nil {
-		return nil
+	key := queueKey{t.name, kind.Name}
+	waiting, wait := r.jobs.accepting[key], time.Duration(0)
+	if k := r.queues.byKey[key]; k != nil {
+		waiting += k.size
+		wait = k.expectedWait(r.now)
 	}
-	wait := k.expectedWait(r.now)
-	if kind.QueueLimit > 0 && k.size >= kind.QueueLimit && !r.shedFor(t, kind) {
+	if kind.QueueLimit > 0 && waiting >= kind.QueueLimit && !r.shedFor(t, kind) {
 		ref := refuse(ReasonQueueFull, "kind %q of team %q has %d jobs waiting, which is its limit",
-			kind.Name, t.name, k.size)
+			kind.Name, t.name, waiting)
 		ref.RetryAfter = min(max(wait, time.Second), maxWaitHint)
 		return ref
 	}
@@ -177,6 +180,7 @@
 		return
 	}
 	j.journaled = true
+	r.jobs.endAccepting(j)
 	if j.cancelled {
 		r.endUnstarted(j)
 	} else if !j.state.Final() {
@@ -219,7 +223,7 @@
 	j.cancelled = true
 	switch j.state {
 	case JobAccepting:
-		if r.dropOpenRecords(j.spec.ID) {
+		if r.dropAccept(j) {
 			r.endUnstarted(j)
 		}
 	case JobQueued:
