Only throttle work that is not idempotent

A task that goes on from a checkpoint is a second start in the workers' ledgers, which the guarantee for work that is not idempotent forbids. The reducer now only throttles such work, whatever its document says, and the document check refuses checkpoint for it, as it does stop. The accounts of package virtual and the test of the benchmark's traces no longer let a start from a checkpoint pass.

The stand-in's worker counts a throttled task with half of its processors, rounded up, because the platform limits it to that, and marks an end of throttling that exceeds its capacity. The examples are unchanged: their kinds that are not idempotent only allow throttling.

--- a/bench/trace_test.go
+++ b/bench/trace_test.go
@@ -50,7 +50,7 @@
 		t.Errorf("job %s has verdict not_run but started %d times", j.ID, attempts)
 	}
 	k := c.trace.kind(j)
-	if !k.Idempotent && !k.Preemption.Checkpoint && attempts > 1 {
+	if !k.Idempotent && attempts > 1 {
 		t.Errorf("job %s is not idempotent but started %d times", j.ID, attempts)
 	}
 }
--- a/core/preempt.go
+++ b/core/preempt.go
@@ -152,7 +152,7 @@
 func (r *Reducer) mostFree(c *claim, w *worker) Resources {
 	free := w.free()
 	for _, p := range w.placements { // a sum does not depend on the order
-		policy := p.job.kind.Preemption
+		policy := p.job.kind.allowedPreemption()
 		if (policy.Throttle || policy.Checkpoint || policy.Stop) && r.mayPreempt(c, p) {
 			free = free.Add(p.task.held)
 		}
@@ -191,6 +191,16 @@
 	return out
 }
 
+// allowedPreemption is what the document allows, reduced to throttling for a kind
+// that is not idempotent: going on from a checkpoint is a second start, and so is
+// the attempt after a stop.
+func (k *Kind) allowedPreemption() PreemptionPolicy {
+	if k.Idempotent {
+		return k.Preemption
+	}
+	return PreemptionPolicy{Throttle: k.Preemption.Throttle}
+}
+
 // mayPreempt reports whether work may give way to the claim: it is less urgent,
 // and it belongs to the same team or runs on capacity that its team borrowed.
 func (r *Reducer) mayPreempt(c *claim, p placement) bool {
@@ -203,13 +213,13 @@
 // actAgainst returns the act that frees the most of a task without being harsher
 // than harshest, if the document allows any.
 func (r *Reducer) actAgainst(p placement, harshest Signal) (victim, bool) {
-	policy := p.job.kind.Preemption
+	policy := p.job.kind.allowedPreemption()
 	again := p.job.preempted < policy.MaxTimes
 	allowed := severity(harshest)
 	switch {
 	case again && policy.Checkpoint && allowed >= severity(SignalCheckpoint):
 		return victim{placement: p, signal: SignalCheckpoint, freed: p.task.held}, true
-	case again && policy.Stop && p.job.kind.Idempotent && allowed >= severity(SignalStop):
+	case again && policy.Stop && allowed >= severity(SignalStop):
 		lost := r.now.Sub(p.task.started)
 		return victim{placement: p, signal: SignalStop, freed: p.task.held, lost: lost}, true
 	case policy.Throttle && !p.task.throttled:
--- a/document/check.go
+++ b/document/check.go
@@ -135,7 +135,11 @@
 	p := k.Preemption
 	if p.Stop && !k.Idempotent {
 		c.refuse(path+".stop", "kind %q is not idempotent, and a stop would lose its work; "+
-			"only checkpoint and throttle are allowed", k.Name)
+			"only throttle is allowed", k.Name)
+	}
+	if p.Checkpoint && !k.Idempotent {
+		c.refuse(path+".checkpoint", "kind %q is not idempotent, and going on from a checkpoint would "+
+			"start it a second time; only throttle is allowed", k.Name)
 	}
 	c.between(path+".max_times", int64(p.MaxTimes), 0, maxPreemptions)
 	if (p.Stop || p.Checkpoint) && p.MaxTimes == 0 {
--- a/standin/worker/reducer_test.go
+++ b/standin/worker/reducer_test.go
@@ -1,6 +1,7 @@
 package worker
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -220,6 +221,50 @@
 	}
 }
 
+// Guards against an account that charges a throttled task for processors that the
+// platform denies it, or that misses what the end of throttling takes too much.
+func TestThrottledTaskCountsWithHalfItsProcessors(t *testing.T) {
+	// The worker has 1000 milli-processors.
+	cases := []struct {
+		name             string
+		first, second    int64
+		signals          []core.Signal
+		startOver, after bool
+	}{
+		{"without throttling the second start is too much", 701, 300, nil, true, false},
+		{"a throttled task leaves room", 701, 649, []core.Signal{core.SignalThrottle}, false, false},
+		{"an odd half is rounded up", 701, 650, []core.Signal{core.SignalThrottle}, true, false},
+		{"throttling twice halves once", 700, 651, []core.Signal{core.SignalThrottle, core.SignalThrottle}, true, false},
+		{"after throttling all counts again", 701, 300, []core.Signal{core.SignalThrottle, core.SignalUnthrottle}, true, false},
+		{"the end of throttling takes too much", 701, 649, []core.Signal{core.SignalThrottle}, false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t)
+			for i, cpu := range []int64{tc.first, tc.second} {
+				s := startRequest(9, ref(strconv.Itoa(i), 1))
+				s.Request.MilliCPU = cpu
+				h.start(int64(i), s, 1000)
+				if i == 0 {
+					for _, signal := range tc.signals {
+						h.signal(0, ref("0", 1), signal)
+					}
+				}
+			}
+			if tc.after {
+				h.signal(2, ref("0", 1), core.SignalUnthrottle)
+			}
+			e := h.report(3).Entries
+			if e[0].OverAssigned != tc.after || e[1].OverAssigned != tc.startOver {
+				t.Errorf("first over-assigned %v, second %v", e[0].OverAssigned, e[1].OverAssigned)
+			}
+			if got := h.report(10_000).InUse; got.MilliCPU != 0 {
+				t.Errorf("in use after the end: %+v", got)
+			}
+		})
+	}
+}
+
 // Guards against fault switches that do nothing or do more than they say.
 func TestFaultSwitches(t *testing.T) {
 	h := newHarness(t)
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -44,6 +44,16 @@
 	return slowness
 }
 
+// holds is what t may use. The platform limits a throttled task to half of its
+// processors, rounded up.
+func (t *run) holds() core.Resources {
+	held := t.entry.Requested.Core()
+	if t.throttled {
+		held.MilliCPU -= held.MilliCPU / throttleFactor
+	}
+	return held
+}
+
 // settle books the work done until now at the present pace.
 func (t *run) settle(now core.Time, slowness float64) {
 	t.done += time.Duration(float64(now.Sub(t.settled)) / t.pace(slowness))
@@ -106,7 +116,7 @@
 	t.started, t.settled = r.now, r.now
 	r.touch(t)
 	r.running = append(r.running, t)
-	r.inUse = r.inUse.Add(t.entry.Requested.Core())
+	r.inUse = r.inUse.Add(t.holds())
 	e := t.entry
 	e.Worker, e.Incarnation, e.Outcome = r.cfg.ID, r.incarnation, OutcomeRunning
 	e.StartUnixUS = micros(r.now)
@@ -132,7 +142,7 @@
 	t.settle(r.now, r.slowness())
 	t.state, t.ended = state, r.now
 	t.entry.Outcome, t.entry.EndUnixUS = outcome, micros(r.now)
-	r.inUse = r.inUse.Sub(t.entry.Requested.Core())
+	r.inUse = r.inUse.Sub(t.holds())
 	r.running = slices.DeleteFunc(r.running, func(o *run) bool { return o == t })
 	r.touch(t)
 }
@@ -162,7 +172,12 @@
 		t.checkpoint = checkpointName(t)
 	case core.SignalThrottle, core.SignalUnthrottle:
 		t.settle(r.now, r.slowness())
+		r.inUse = r.inUse.Sub(t.holds())
 		t.throttled = signal == core.SignalThrottle
+		r.inUse = r.inUse.Add(t.holds())
+		if !t.throttled && !r.inUse.Fits(r.cfg.Capacity) {
+			t.entry.OverAssigned = true
+		}
 		r.touch(t)
 	}
 }
--- a/standin/worker/summary.go
+++ b/standin/worker/summary.go
@@ -21,7 +21,8 @@
 	// Repeated lists what was started more than once. The caller knows which
 	// kinds are idempotent.
 	Repeated []Repeat `json:"repeated"`
-	// OverAssigned counts the starts that exceeded a worker's capacity.
+	// OverAssigned counts what exceeded a worker's capacity at its start or at
+	// the end of throttling.
 	OverAssigned int `json:"over_assigned"`
 	// StartsAfterLeaving counts the starts later than 3 s after the list
 	// showed the worker as leaving.
--- a/standin/worker/types.go
+++ b/standin/worker/types.go
@@ -176,7 +176,8 @@
 	// LeavingMS is how long the platform's list had shown the worker as
 	// leaving at the start, or -1.
 	LeavingMS int64 `json:"leaving_ms"`
-	// OverAssigned is set if the start exceeded the worker's capacity.
+	// OverAssigned is set if the start, or the end of throttling, exceeded the
+	// worker's capacity.
 	OverAssigned bool `json:"over_assigned,omitempty"`
 }
 
--- a/virtual/account.go
+++ b/virtual/account.go
@@ -101,7 +101,7 @@
 	// gave no answer still runs it.
 	Doubled []worker.Repeat
 	// Repeated are tasks and calls that are not idempotent and were started
-	// more than once. A start from a checkpoint does not count.
+	// more than once, from a checkpoint or not.
 	Repeated []worker.Repeat
 	// FalseRefusals are ids that were answered as not run and are in a ledger.
 	FalseRefusals []string
@@ -148,19 +148,13 @@
 		}
 	}
 	ran := map[string]bool{}
-	resumed := map[worker.Repeat]int{}
 	for _, r := range reports {
 		for _, e := range r.Entries {
 			ran[string(e.Entry)+e.Job] = true
-			if e.Outcome == worker.OutcomeCheckpointed {
-				resumed[worker.Repeat{Entry: e.Entry, Job: e.Job, Task: e.Task, Team: e.Team, Kind: e.Kind}]++
-			}
 		}
 	}
 	for _, r := range a.Summary.Repeated {
-		key := r
-		key.Starts = 0
-		if !c.idempotent(r.Team, r.Kind) && r.Starts-resumed[key] > 1 {
+		if !c.idempotent(r.Team, r.Kind) {
 			a.Repeated = append(a.Repeated, r)
 		}
 	}
