--- a/core/deadline.go
+++ b/core/deadline.go
@@ -39,6 +39,8 @@
 		if r.now >= j.ended.Add(retention) {
 			r.jobs.forget(j)
 		}
+	case j.state == JobMoved:
+		r.onMovedTimer(j)
 	case j.state == JobAccepting:
 		r.acceptTimedOut(j)
 	case j.state == JobQueued && !j.everStarted() && r.now >= j.startBy():
@@ -55,7 +57,7 @@
 
 // acceptTimedOut answers a submit whose journal record is not durable in time.
 func (r *Reducer) acceptTimedOut(j *job) {
-	if r.dropOpenRecords(j.spec.ID) {
+	if r.dropAccept(j) {
 		r.endUnstartedBecause(j, ReasonStoreUnavailable, "could not be made durable in time")
 		return
 	}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -83,7 +83,9 @@
 }
 
 func newFleet() fleet {
-	return fleet{byID: map[WorkerID]*worker{}, holds: map[holdKey]int64{}}
+	return fleet{
+		byID: map[WorkerID]*worker{}, holds: map[holdKey]int64{}, index: newCapacityIndex(0),
+	}
 }
 
 func (f *fleet) get(id WorkerID) *worker { return f.byID[id] }
@@ -195,7 +197,7 @@
 	w.placements[taskKey{j.spec.ID, t.index}] = placement{j, t}
 	f.hold(w, need)
 	f.charge(j.team, need, 1)
-	if j.kind.Preemption != (PreemptionPolicy{}) {
+	if j.kind.allowedPreemption() != (PreemptionPolicy{}) {
 		t.preemptible = true
 		f.preemptible++
 	}
--- a/core/journal.go
+++ b/core/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -16,10 +17,6 @@
 	journalBurst = 8
 	// journalRetry is the wait after a write that surely took no effect.
 	journalRetry = 300 * time.Millisecond
-	// cleanAfter is the number of groups that starts a cleaning.
-	cleanAfter = 64
-	// cleanBatch is how many of the oldest groups one cleaning rewrites.
-	cleanBatch = 32
 	// keptOpenings is how many opening groups are never deleted. A former
 	// owner can only write to the key of its successor's opening group, so as
 	// long as that key exists its write is refused.
@@ -37,10 +34,19 @@
 	journalReadBackLater
 )
 
+// openRecord is a record that is not sent yet. A job whose accept record is open
+// points to it, so that a cancellation costs the same however many are open.
+type openRecord struct {
+	Record
+	// waits is set until the record is sent or dropped.
+	waits bool
+}
+
 // writtenGroup is a group in the store.
 type writtenGroup struct {
 	sequence uint64
 	opening  bool
+	bytes    int
 	jobs     []JobID
 }
 
@@ -49,7 +55,10 @@
 // Invariant: at most one group is in flight, and its sequence is one above that
 // of the last group known to be written.
 type journal struct {
-	open      []Record
+	// open holds the records of the next groups, dropped ones included.
+	open []*openRecord
+	// dropped counts the dropped records in open.
+	dropped   int
 	openBytes int
 	inFlight  *JournalGroup
 	phase     journalPhase
@@ -62,10 +71,14 @@
 	groups   []writtenGroup
 	// loaded holds the groups of earlier epochs during a recovery.
 	loaded []JournalGroup
-	// copies is the number of records of a cleaning that are not durable yet.
-	copies int
-	// cleaning holds the groups that are deleted once copies is zero.
-	cleaning []writtenGroup
+	// written is the number of bytes in groups.
+	written int
+	// cleaning holds the groups that are deleted once the live records in them
+	// have been written again: those of the jobs in copyQueue, and then those
+	// in the group with the sequence copiedBy.
+	cleaning  []writtenGroup
+	copyQueue []JobID
+	copiedBy  uint64
 }
 
 func newJournal(rate float64) journal {
@@ -82,26 +95,41 @@
 }
 
 // appendRecord adds a record to the next group.
-func (r *Reducer) appendRecord(rec Record) {
-	r.journal.open = append(r.journal.open, rec)
+func (r *Reducer) appendRecord(rec Record) *openRecord {
+	o := &openRecord{Record: rec, waits: true}
+	r.journal.open = append(r.journal.open, o)
 	r.journal.openBytes += rec.size()
+	return o
 }
 
-// dropOpenRecords removes the records of a job that were not sent. It reports
-// whether an accept record was among them.
-func (r *Reducer) dropOpenRecords(id JobID) bool {
-	kept := r.journal.open[:0]
-	dropped := false
-	for _, rec := range r.journal.open {
-		if rec.Job == id {
-			dropped = dropped || rec.Kind == RecordAccepted
-			r.journal.openBytes -= rec.size()
-			continue
-		}
-		kept = append(kept, rec)
+// openRecords is the number of records that wait to be sent.
+func (j *journal) openRecords() int { return len(j.open) - j.dropped }
+
+// acceptUnsent reports whether the job's accept record, or that of its move, waits
+// to be sent.
+func (j *job) acceptUnsent() bool { return j.accept != nil && j.accept.waits }
+
+// dropAccept removes the job's accept record, or that of its move, if it was not
+// sent, and reports whether it did. Such a job has no other record.
+func (r *Reducer) dropAccept(j *job) bool {
+	if !j.acceptUnsent() {
+		return false
+	}
+	r.journal.drop(j.accept)
+	j.accept = nil
+	return true
+}
+
+// drop marks an open record as dropped. Dropped records leave the list when they
+// are more than half of it, which costs constant time for each.
+func (j *journal) drop(o *openRecord) {
+	j.openBytes -= o.size()
+	*o = openRecord{}
+	j.dropped++
+	if j.dropped > len(j.open)/2 {
+		j.open = slices.DeleteFunc(j.open, func(o *openRecord) bool { return !o.waits })
+		j.dropped = 0
 	}
-	r.journal.open = kept
-	return dropped
 }
 
 // refill adds the tokens that have accrued since the last call.
@@ -126,7 +154,7 @@
 	}
 	j.refill(r.now)
 	if j.inFlight == nil {
-		if len(j.open) == 0 || j.tokens < 1 {
+		if (j.openRecords() == 0 && len(j.copyQueue) == 0) || j.tokens < 1 {
 			return
 		}
 		r.takeGroup()
@@ -141,13 +169,25 @@
 func (r *Reducer) takeGroup() {
 	j := &r.journal
 	n, bytes := 0, 0
-	for n < len(j.open) && (n == 0 || bytes+j.open[n].size() <= maxGroupBytes) {
-		bytes += j.open[n].size()
+	var records []Record
+	for _, o := range j.open {
+		if !o.waits {
+			j.dropped--
+			n++
+			continue
+		}
+		size := o.size()
+		if len(records) > 0 && bytes+size > maxGroupBytes {
+			break
+		}
+		records = append(records, o.Record)
+		o.waits = false
+		bytes += size
 		n++
 	}
+	records = append(records, r.takeCopies(maxGroupBytes-bytes)...)
 	j.inFlight = &JournalGroup{
-		Epoch: r.owner.epoch, Sequence: j.sequence + 1, ID: r.rng.Uint64(),
-		Records: append([]Record(nil), j.open[:n]...),
+		Epoch: r.owner.epoch, Sequence: j.sequence + 1, ID: r.rng.Uint64(), Records: records,
 	}
 	clear(j.open[:n]) // lets go of their payloads
 	j.open = j.open[n:]
@@ -213,11 +253,7 @@
 	g := j.inFlight
 	j.inFlight, j.phase, j.sequence = nil, journalIdle, g.Sequence
 	r.count(MetricJournal, "", "", "")
-	written := writtenGroup{sequence: g.Sequence}
-	for i := range g.Records {
-		written.jobs = append(written.jobs, g.Records[i].Job)
-	}
-	j.groups = append(j.groups, written)
+	j.noteGroup(g)
 	for i := range g.Records {
 		r.onDurable(&g.Records[i])
 	}
@@ -227,7 +263,6 @@
 // onDurable continues what waited for a record.
 func (r *Reducer) onDurable(rec *Record) {
 	if rec.Copy {
-		r.journal.copies--
 		return
 	}
 	job := r.jobs.get(rec.Job)
@@ -237,6 +272,8 @@
 	switch rec.Kind {
 	case RecordAccepted:
 		r.onAccepted(job)
+	case RecordMoved:
+		r.onMoveDurable(job)
 	case RecordAssigned:
 		r.onAssignmentDurable(job, rec.Task)
 	case RecordFinished:
@@ -247,95 +284,6 @@
 	}
 }
 
-// cleanJournal keeps the journal short: the records of live jobs in the oldest
-// groups are written again at the end, and then the groups are deleted.
-func (r *Reducer) cleanJournal() {
-	j := &r.journal
-	if j.cleaning != nil {
-		if j.copies == 0 {
-			r.deleteCleaned()
-		}
-		return
-	}
-	if len(j.groups) < cleanAfter {
-		return
-	}
-	var kept []writtenGroup
-	openings := 0
-	for i := len(j.groups) - 1; i >= 0; i-- {
-		if j.groups[i].opening {
-			openings++
-		}
-	}
-	for _, g := range j.groups {
-		if g.opening {
-			if openings--; openings < keptOpenings {
-				kept = append(kept, g)
-				continue
-			}
-		}
-		if len(j.cleaning) < cleanBatch {
-			j.cleaning = append(j.cleaning, g)
-			continue
-		}
-		kept = append(kept, g)
-	}
-	j.groups = kept
-	r.copyLiveRecords()
-}
-
-// copyLiveRecords appends the records of live jobs in the groups being cleaned.
-func (r *Reducer) copyLiveRecords() {
-	seen := map[JobID]bool{}
-	for _, g := range r.journal.cleaning {
-		for _, id := range g.jobs {
-			if seen[id] {
-				continue
-			}
-			seen[id] = true
-			if job := r.jobs.get(id); job != nil && job.journaled {
-				r.copyJob(job)
-			}
-		}
-	}
-	if r.journal.copies == 0 {
-		r.deleteCleaned()
-	}
-}
-
-// copyJob appends what a successor needs to know about a job.
-func (r *Reducer) copyJob(j *job) {
-	var records []Record
-	spec := j.spec
-	records = append(records, Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec})
-	if j.state.Final() {
-		records = append(records, j.finishedRecord())
-	}
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if !j.kind.Idempotent && t.holdsCapacity() {
-			records = append(records, r.assignedRecord(j, t))
-		}
-	}
-	for _, rec := range records {
-		rec.Copy = true
-		r.journal.copies++
-		r.appendRecord(rec)
-	}
-}
-
-// deleteCleaned deletes the groups whose live records have been copied.
-func (r *Reducer) deleteCleaned() {
-	var keys []string
-	for _, g := range r.journal.cleaning {
-		keys = append(keys, r.journalKey(g.sequence))
-	}
-	r.journal.cleaning = nil
-	if len(keys) > 0 {
-		r.emit(DeleteValues{Op: r.op(PurposeJournalDelete, keys[0]), Keys: keys})
-	}
-}
-
 // Digest returns the hash of a submitted job's content.
 func Digest(team TeamName, kind KindName, payload []byte) uint64 {
 	h := fnv.New64a()
--- a/core/submit.go
+++ b/core/submit.go
@@ -28,7 +28,7 @@
 		r.refuse(s.Request, ref, s.Spec.Team, s.Spec.Kind)
 		return
 	}
-	if !s.Forwarded && r.sendElsewhere(s, kind) {
+	if !s.Forwarded && !r.fromOther(&s.Spec) && r.sendElsewhere(s, kind) {
 		return
 	}
 	j := r.newJob(s.Spec, kind)
@@ -38,7 +38,8 @@
 	r.jobs.schedule(j)
 	j.team.queued++
 	spec := j.spec
-	r.appendRecord(Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec, At: r.now})
+	r.jobs.beginAccepting(j, r.appendRecord(
+		Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec, At: r.now}))
 }
 
 // onRepeatedSubmit answers a submit of an id that is known.
@@ -48,6 +49,9 @@
 			"job %q was submitted before with other content", s.Spec.ID), s.Spec.Team, s.Spec.Kind)
 		return
 	}
+	if r.answerMoved(s.Request, j, r.fromOther(&s.Spec)) {
+		return
+	}
 	if j.state == JobAccepting {
 		j.submitters = append(j.submitters, s.Request)
 		r.jobs.waiting[s.Request] = j.spec.ID
@@ -88,9 +92,13 @@
 	return ref
 }
 
-// unknownJob refuses a request about a job that is not known here.
-func (r *Reducer) unknownJob(request RequestID, id JobID) {
+// unknownJob refuses a request about a job that is not known here. The submit of
+// a job that another data centre moves here may still be on its way.
+func (r *Reducer) unknownJob(request RequestID, id JobID, moved bool) {
 	ref := refuse(ReasonUnknownJob, "job %q is not known", id)
+	if moved {
+		ref.Verdict = MayHaveRun
+	}
 	if r.owner.role == roleStandby {
 		ref = withoutJournal()
 	}
@@ -112,17 +120,19 @@
 	return nil
 }
 
-// admitQueue bounds the queue of a kind and refuses early what would surely not
-// start in time.
+// admitQueue bounds the waiting jobs of a kind and refuses early what would surely
+// not start in time. Jobs whose record is not durable yet count as waiting: they
+// would fill the memory during an outage of the store.
 func (r *Reducer) admitQueue(t *team, kind *Kind) *Refusal {
-	k := r.queues.byKey[queueKey{t.name, kind.Name}]
-	if k == nil {
-		return nil
+	key := queueKey{t.name, kind.Name}
+	waiting, wait := r.jobs.accepting[key], time.Duration(0)
+	if k := r.queues.byKey[key]; k != nil {
+		waiting += k.size
+		wait = k.expectedWait(r.now)
 	}
-	wait := k.expectedWait(r.now)
-	if kind.QueueLimit > 0 && k.size >= kind.QueueLimit && !r.shedFor(t, kind) {
+	if kind.QueueLimit > 0 && waiting >= kind.QueueLimit && !r.shedFor(t, kind) {
 		ref := refuse(ReasonQueueFull, "kind %q of team %q has %d jobs waiting, which is its limit",
-			kind.Name, t.name, k.size)
+			kind.Name, t.name, waiting)
 		ref.RetryAfter = min(max(wait, time.Second), maxWaitHint)
 		return ref
 	}
@@ -169,7 +179,8 @@
 	if j.journaled {
 		return
 	}
-	j.journaled = true
+	r.jobs.noteJournaled(j)
+	r.jobs.endAccepting(j)
 	if j.cancelled {
 		r.endUnstarted(j)
 	} else if !j.state.Final() {
@@ -195,7 +206,10 @@
 	}
 	j := r.jobs.get(c.Job)
 	if j == nil || j.service != "" {
-		r.unknownJob(c.Request, c.Job)
+		r.unknownJob(c.Request, c.Job, c.Moved)
+		return
+	}
+	if r.answerMoved(c.Request, j, c.Moved) {
 		return
 	}
 	if j.settled() {
@@ -209,7 +223,7 @@
 	j.cancelled = true
 	switch j.state {
 	case JobAccepting:
-		if r.dropOpenRecords(j.spec.ID) {
+		if r.dropAccept(j) {
 			r.endUnstarted(j)
 		}
 	case JobQueued:
@@ -230,7 +244,8 @@
 	j := r.jobs.get(s.Job)
 	switch {
 	case j == nil:
-		r.unknownJob(s.Request, s.Job)
+		r.unknownJob(s.Request, s.Job, s.Moved)
+	case r.answerMoved(s.Request, j, s.Moved):
 	case s.Explain:
 		r.emit(Reply{Request: s.Request, Explain: r.explain(j)})
 	case s.Wait && !j.settled():
