Order jobs of one batch by arrival and gather room later

Cause: jobs that were submitted together have the same time, so one kind was served until it was used up and only large jobs remained; room that was gathered for a head lay idle although most find room by themselves. Change: queues order by the number of arrival; room is gathered after 30 s of being overtaken, on the workers of a sample that are expected to have it soonest.

--- a/core/fairness.go
+++ b/core/fairness.go
@@ -9,8 +9,10 @@
 type head struct {
 	// order is the class times classWidth, plus the share.
 	order float64
-	since Time
-	shape int
+	// arrival is the job's place among all jobs that were ever queued. Times
+	// would not do: jobs of one batch have the same.
+	arrival uint64
+	shape   int
 }
 
 const (
@@ -26,7 +28,7 @@
 	if a.order != b.order {
 		return a.order < b.order
 	}
-	return a.since < b.since
+	return a.arrival < b.arrival
 }
 
 // borrowed reports whether the job would run on borrowed capacity.
@@ -56,7 +58,10 @@
 	}
 	if first >= 0 && q.heads[first].before(&q.heads[best]) {
 		k := q.busy[first]
-		if k.overtaken++; k.overtaken >= overtakenLimit {
+		if k.overtaken++; k.overtaken == 1 {
+			k.passedAt = r.now
+		}
+		if k.overtaken >= overtakenLimit && r.now.Sub(k.passedAt) >= reserveAfter {
 			q.starved = k
 		}
 	}
@@ -92,7 +97,7 @@
 		class += borrowedClass
 	}
 	h := &r.queues.heads[k.at]
-	h.order, h.since = class*classWidth+r.share(k.team), j.spec.Submitted
+	h.order, h.arrival = class*classWidth+r.share(k.team), j.arrival
 	if key := r.shapeOf(j); h.shape == noShape || r.queues.shapes.list[h.shape].key != key {
 		old := h.shape
 		h.shape = r.queues.shapes.acquire(key)
--- a/core/job.go
+++ b/core/job.go
@@ -146,6 +146,8 @@
 	preempted   int
 	// inQueue is kept by queues.
 	inQueue bool
+	// arrival is the job's number among all that were queued, from 1.
+	arrival uint64
 	// reserved is set while room is kept for the job.
 	reserved bool
 	// notBefore holds the job back after a failed attempt.
--- a/core/queue.go
+++ b/core/queue.go
@@ -31,6 +31,8 @@
 	// overtaken counts the placements that passed the head while it was the
 	// first that had no room.
 	overtaken int
+	// passedAt is when the head was overtaken first, or zero.
+	passedAt Time
 	// nextRoom is when work may next be preempted for the head, and roomWait
 	// is the wait after the last try.
 	nextRoom Time
@@ -55,6 +57,8 @@
 	// starved is a queue whose head was overtaken often, or nil.
 	starved *kindQueue
 	delayed timeHeap
+	// arrivals counts the jobs that were ever queued.
+	arrivals uint64
 }
 
 func newQueues() queues {
@@ -84,12 +88,16 @@
 	k := q.of(j)
 	if k.size == 0 {
 		k.jobs, k.head = k.jobs[:0], 0
-		k.at, k.overtaken, k.nextRoom = len(q.busy), 0, 0
+		k.at, k.overtaken, k.passedAt, k.nextRoom = len(q.busy), 0, 0, 0
 		q.busy = append(q.busy, k)
 		q.heads = append(q.heads, head{shape: noShape})
 		q.touch(k)
 	}
 	j.inQueue = true
+	if j.arrival == 0 {
+		q.arrivals++
+		j.arrival = q.arrivals
+	}
 	k.jobs = append(k.jobs, j)
 	k.size++
 }
@@ -107,7 +115,7 @@
 		return
 	}
 	if k.jobs[k.head] == j {
-		k.overtaken, k.nextRoom = 0, 0
+		k.overtaken, k.passedAt, k.nextRoom = 0, 0, 0
 		q.touch(k)
 	}
 	k.compact()
--- a/core/reserve.go
+++ b/core/reserve.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// reserveAfter is how long the head of a queue must have waited before
-	// room is gathered for it.
-	reserveAfter = 3 * time.Second
+	// reserveAfter is how long the head of a queue must have been overtaken
+	// before room is gathered for it. Most large jobs find room on their own
+	// within this time, and gathered room lies idle until it is used.
+	reserveAfter = 30 * time.Second
 	// reserveTime bounds how long room is gathered for one job. A job that
 	// cannot be placed by then leaves the room to others for as long.
 	reserveTime = 60 * time.Second
@@ -21,6 +22,10 @@
 	// reservePause is the time between two tries to gather room: each looks at
 	// every worker.
 	reservePause = time.Second
+	// reserveSample is the least number of workers looked at, and
+	// reserveSampleFactor how many for each task that waits.
+	reserveSample       = 64
+	reserveSampleFactor = 4
 	// medianPercentile is the run time that half of all tasks end within.
 	medianPercentile = 50
 )
@@ -117,8 +122,7 @@
 
 // reserveFor gathers room for the head of a queue that others keep overtaking.
 func (r *Reducer) reserveFor(k *kindQueue, j *job) {
-	waited := r.now.Sub(j.spec.Submitted)
-	if j.reserved || r.reserve.gathering() >= maxReservations || waited < reserveAfter ||
+	if j.reserved || r.reserve.gathering() >= maxReservations ||
 		r.now < r.reserve.again[j.spec.ID] || r.now < r.reserve.next {
 		return
 	}
@@ -127,10 +131,7 @@
 	if len(workers) == 0 {
 		return
 	}
-	for _, w := range workers {
-		w.roomAt = r.expectedRoom(w, j.kind.Request)
-	}
-	j.reserved, k.overtaken = true, 0
+	j.reserved, k.overtaken, k.passedAt = true, 0, 0
 	r.reserve.add(r, &reservation{id: j.spec.ID, workers: workers, until: r.now.Add(reserveTime)})
 	r.queues.touch(k)
 	r.jobs.note(j, r.now, "gathering room", workers[0].id)
@@ -166,40 +167,44 @@
 	return r.now
 }
 
-// workersFor picks the workers that lack the least to hold the waiting tasks of
-// j, within the share that one job may reserve.
+// workersFor picks the workers that are expected to have room for the waiting
+// tasks of j soonest, out of a sample and within the share that one job may
+// reserve. It also sets when that room is expected.
 func (r *Reducer) workersFor(j *job) []*worker {
-	waiting := int64(0)
-	for i := range j.tasks {
-		if j.tasks[i].state == taskWaiting {
-			waiting++
-		}
-	}
-	var fitting []*worker
-	for _, w := range r.fleet.workers {
-		if w.isUsable() && w.reservedBy == "" && j.kind.Request.Fits(w.capacity) {
-			fitting = append(fitting, w)
-		}
+	waiting := int64(j.waiting())
+	sample := r.sampleFor(j, max(reserveSample, reserveSampleFactor*int(waiting)))
+	for _, w := range sample {
+		w.roomAt = r.expectedRoom(w, j.kind.Request)
 	}
-	slices.SortStableFunc(fitting, func(a, b *worker) int {
-		return cmp.Compare(a.assigned.DominantShare(a.capacity), b.assigned.DominantShare(b.capacity))
-	})
+	slices.SortStableFunc(sample, func(a, b *worker) int { return cmp.Compare(a.roomAt, b.roomAt) })
 	most := max(1, int(reserveShare*float64(len(r.fleet.workers))))
-	var chosen []*worker
-	for _, w := range fitting {
-		if waiting <= 0 {
-			return chosen
-		}
-		if len(chosen) == most {
-			return nil
-		}
-		chosen = append(chosen, w)
-		waiting -= j.kind.Request.Copies(w.capacity, waiting)
+	n := 0
+	for waiting > 0 && n < min(most, len(sample)) {
+		waiting -= j.kind.Request.Copies(sample[n].capacity, waiting)
+		n++
 	}
 	if waiting > 0 {
 		return nil
 	}
-	return chosen
+	return sample[:n]
+}
+
+// sampleFor returns up to n workers that could hold the request of j if they were
+// empty, starting at a random one.
+func (r *Reducer) sampleFor(j *job, n int) []*worker {
+	var out []*worker
+	all := r.fleet.workers
+	if len(all) == 0 {
+		return nil
+	}
+	from := r.rng.IntN(len(all))
+	for i := 0; i < len(all) && len(out) < n; i++ {
+		w := all[(from+i)%len(all)]
+		if w.isUsable() && w.reservedBy == "" && j.kind.Request.Fits(w.capacity) {
+			out = append(out, w)
+		}
+	}
+	return out
 }
 
 // tickReservations ends reservations that have lasted long enough.
