--- a/ctl/client_test.go
+++ b/ctl/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,18 +10,9 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
-)
 
-// closedAddress returns an address on which nothing listens.
-func closedAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
+	"banyanrun.example/banyanrun/internal/testaddr"
+)
 
 // TestSecondEntryHost guards against a request that is sent twice although the
 // first host may have carried it out, and against giving up although it surely
@@ -45,7 +35,7 @@
 		req   Request
 		want  int
 	}{
-		{"a request that never left goes to the second host", closedAddress(t), Request{Method: "POST", Path: "/"}, 1},
+		{"a request that never left goes to the second host", testaddr.Refusing(t), Request{Method: "POST", Path: "/"}, 1},
 		{"a request in doubt goes nowhere else", address(dropped), Request{Method: "POST", Path: "/"}, 0},
 		{"a read in doubt goes to the second host", address(dropped), Request{Method: "GET", Path: "/", ReadOnly: true}, 1},
 	}
@@ -65,7 +55,7 @@
 func TestUnreachable(t *testing.T) {
 	for _, command := range []string{"hosts", "call a b", "cancel x", "submit --team a --kind b"} {
 		var stdout, stderr bytes.Buffer
-		args := append([]string{"--entry", closedAddress(t)}, strings.Fields(command)...)
+		args := append([]string{"--entry", testaddr.Refusing(t)}, strings.Fields(command)...)
 		if exit := Main(context.Background(), args, nil, &stdout, &stderr); exit != ExitUnreachable {
 			t.Errorf("%s: exit code %d, want %d; %s", command, exit, ExitUnreachable, stderr.String())
 		}
