--- a/bench/cell.go
+++ b/bench/cell.go
@@ -77,6 +77,19 @@
 // NewCell returns a cell for a trace. The warm-up is done and the trace's
 // documents are in force; the arrivals follow with Run.
 func NewCell(t *Trace, meter Meter) *Cell {
+	c := emptyCell(t, meter)
+	c.warm()
+	return c
+}
+
+// warm elects the owner and fences the workers.
+func (c *Cell) warm() {
+	c.tick()
+	c.run(at(0))
+}
+
+// emptyCell returns a cell whose clock stands at the start of the warm-up.
+func emptyCell(t *Trace, meter Meter) *Cell {
 	c := &Cell{
 		reducer: core.New(core.Config{
 			Host: "entry-1", Address: "entry-1", DataCentre: dataCentre, Region: region,
@@ -104,8 +117,6 @@
 		}}
 	}
 	c.now = at(0).Add(-warmUp)
-	c.tick()
-	c.run(at(0))
 	return c
 }
 
