Measure real processes at a small scale

The rows in virtual time cannot show takeover, documents in force, or the processor time, memory and traffic of the daemons. Package bench/processes runs two data centres of three hosts each with the integration tests' cluster, with 1 ms on links within a region and 20 ms between regions. The proxy finds the host that opened a connection by its socket, since all hosts have one address. The soak program's reporter moves to package cluster.

--- a/bench/decision.go
+++ b/bench/decision.go
@@ -208,19 +208,19 @@
 	first, random := baselineCost(big, firstFit), baselineCost(big, randomFit(generator(seed, 2)))
 	mean := micros(large.mean())
 	return []Row{
-		atMost("placement_decision_mean", mean, "us", meanBound).beside(first),
-		atMost("placement_decision_p99", micros(large.p99()), "us", p99Bound),
-		figure("placement_decision_mean_to_first_fit", mean/first, "ratio"),
-		figure("placement_decision_mean_to_random", mean/random, "ratio").beside(random),
-		atMost("placement_growth", mean/micros(small.mean()), "ratio", growthBound),
-		figure("placement_growth_with_teams", mean/micros(fewTeams.mean()), "ratio"),
-		atLeast("placement_running_tasks_min", float64(large.running), "tasks", targetTasks),
-		atLeast("placement_teams_waiting_min", float64(large.waiting), "teams", targetTeams),
-		figure("step_time_per_placed_task", micros(large.all)/float64(max(1, large.starts)), "us"),
-		figure("placement_starts_per_second", float64(large.starts)/(decisionMeasuredMS/1000), "starts/s"),
-		figure("tick_mean", micros(large.ticks)/float64(max(1, large.tickCount)), "us"),
-		figure("tick_max", micros(large.longestTick), "us"),
-		atMost("control_share_of_core", large.all.Seconds()/(decisionMeasuredMS/1000), "cores", shareBound),
+		AtMost("placement_decision_mean", mean, "us", meanBound).Beside(first),
+		AtMost("placement_decision_p99", micros(large.p99()), "us", p99Bound),
+		Figure("placement_decision_mean_to_first_fit", mean/first, "ratio"),
+		Figure("placement_decision_mean_to_random", mean/random, "ratio").Beside(random),
+		AtMost("placement_growth", mean/micros(small.mean()), "ratio", growthBound),
+		Figure("placement_growth_with_teams", mean/micros(fewTeams.mean()), "ratio"),
+		AtLeast("placement_running_tasks_min", float64(large.running), "tasks", targetTasks),
+		AtLeast("placement_teams_waiting_min", float64(large.waiting), "teams", targetTeams),
+		Figure("step_time_per_placed_task", micros(large.all)/float64(max(1, large.starts)), "us"),
+		Figure("placement_starts_per_second", float64(large.starts)/(decisionMeasuredMS/1000), "starts/s"),
+		Figure("tick_mean", micros(large.ticks)/float64(max(1, large.tickCount)), "us"),
+		Figure("tick_max", micros(large.longestTick), "us"),
+		AtMost("control_share_of_core", large.all.Seconds()/(decisionMeasuredMS/1000), "cores", shareBound),
 	}
 }
 
--- a/bench/packing.go
+++ b/bench/packing.go
@@ -78,8 +78,8 @@
 	share := packingShare(t)
 	first, random := baselineShare(t, firstFit), baselineShare(t, randomFit(generator(seed, 2)))
 	return []Row{
-		atLeast("packing_dominant", share, "share", bound).beside(first),
-		atLeast("packing_to_first_fit", share/first, "ratio", 1).beside(first),
-		figure("packing_to_random", share/random, "ratio").beside(random),
+		AtLeast("packing_dominant", share, "share", bound).Beside(first),
+		AtLeast("packing_to_first_fit", share/first, "ratio", 1).Beside(first),
+		Figure("packing_to_random", share/random, "ratio").Beside(random),
 	}
 }
--- /dev/null
+++ b/bench/processes/proc.go
@@ -0,0 +1,99 @@
+package processes
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ticksPerSecond is the unit of processor times in /proc, which is fixed for
+// programs on Linux.
+const ticksPerSecond = 100
+
+// processorTime returns the processor time of a process.
+func processorTime(pid int) (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read processor time: %w", err)
+	}
+	// The name in parentheses may hold spaces. User and system time are fields
+	// 14 and 15, and the name is field 2.
+	const user, system = 14 - 3, 15 - 3
+	fields := bytes.Fields(data[bytes.LastIndexByte(data, ')')+1:])
+	if len(fields) <= system {
+		return 0, fmt.Errorf("process %d: its status has %d fields", pid, len(fields))
+	}
+	total := 0
+	for _, f := range [][]byte{fields[user], fields[system]} {
+		n, err := strconv.Atoi(string(f))
+		if err != nil {
+			return 0, fmt.Errorf("process %d: decode processor time: %w", pid, err)
+		}
+		total += n
+	}
+	return time.Duration(total) * time.Second / ticksPerSecond, nil
+}
+
+// residentMB returns the resident memory of a process.
+func residentMB(pid int) (float64, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, fmt.Errorf("read memory: %w", err)
+	}
+	fields := strings.Fields(string(data))
+	if len(fields) < 2 {
+		return 0, fmt.Errorf("process %d: its memory has %d fields", pid, len(fields))
+	}
+	pages, err := strconv.Atoi(fields[1])
+	if err != nil {
+		return 0, fmt.Errorf("process %d: decode memory: %w", pid, err)
+	}
+	return float64(pages) * float64(os.Getpagesize()) / (1 << 20), nil
+}
+
+// opened reports whether a process has the socket with a local address. All hosts
+// run on one machine, so the address alone does not tell them apart.
+func opened(pid int, local net.Addr) bool {
+	inode := socketInode(local)
+	if inode == "" {
+		return false
+	}
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
+	if err != nil {
+		return false
+	}
+	for _, f := range files {
+		// A file that was closed meanwhile is not the socket.
+		if to, err := os.Readlink(f); err == nil && to == "socket:["+inode+"]" {
+			return true
+		}
+	}
+	return false
+}
+
+// socketInode returns the inode of the connected socket with a local IPv4
+// address, or an empty text.
+func socketInode(local net.Addr) string {
+	tcp, ok := local.(*net.TCPAddr)
+	if !ok || tcp.IP.To4() == nil {
+		return ""
+	}
+	ip := tcp.IP.To4()
+	want := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], tcp.Port)
+	data, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	const localField, inodeField = 1, 9
+	for line := range strings.Lines(string(data)) {
+		if f := strings.Fields(line); len(f) > inodeField && f[localField] == want {
+			return f[inodeField]
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/bench/processes/processes.go
@@ -0,0 +1,96 @@
+// Package processes measures real entry daemons at a small scale: two data centres
+// in different regions with three hosts each, behind proxies that delay every
+// link. The stand-in runs in this process.
+package processes
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"banyanrun.example/banyanrun/bench"
+	"banyanrun.example/banyanrun/integration/cluster"
+	"banyanrun.example/banyanrun/integration/faultproxy"
+)
+
+const (
+	dataCentres   = 2
+	hostsPerDC    = 3
+	workersPerDC  = 8
+	nearDelay     = time.Millisecond
+	farDelay      = 20 * time.Millisecond
+	ownerLease    = 6 * time.Second
+	takeoverBound = ownerLease + 5*time.Second
+)
+
+// defaults are the settings that the integration tests shorten, at the values
+// that the daemon has by default.
+var defaults = []string{
+	"--owner-lease", ownerLease.String(), "--task-lease", "30s", "--sync-wait", "10s",
+	"--store-timeout", "2s", "--worker-timeout", "5s", "--journal-rate", "4", "--log-level", "warn",
+}
+
+// Measures lists the measures on real processes.
+func Measures() []bench.Measure {
+	return []bench.Measure{
+		{Name: "takeover", Run: onCluster(takeoverRows)},
+		{Name: "document", Run: onCluster(documentRows)},
+		{Name: "share", Run: onCluster(shareRows)},
+	}
+}
+
+// onCluster runs a measure on a cluster of its own. After it every fault is
+// removed and the accounts of all jobs must be right.
+func onCluster(rows func(*cluster.Cluster) []bench.Row) func(uint64) ([]bench.Row, error) {
+	return func(seed uint64) ([]bench.Row, error) {
+		folder, err := os.MkdirTemp("", "banyanrun-bench")
+		if err != nil {
+			return nil, fmt.Errorf("create folder: %w", err)
+		}
+		defer os.RemoveAll(folder)
+		binary, err := cluster.Build(folder)
+		if err != nil {
+			return nil, err
+		}
+		var out []bench.Row
+		t := cluster.NewReporter("bench", os.Stderr)
+		t.Run(func() {
+			c := cluster.Start(t, cluster.Config{
+				Binary: binary, DataCentres: dataCentres, Apart: true, Hosts: hostsPerDC,
+				Workers: workersPerDC, Seed: seed, Flags: defaults,
+			})
+			setDelays(c)
+			out = rows(c)
+			c.Settle()
+		})
+		if t.Failed() {
+			return out, fmt.Errorf("the cluster failed or its accounts are wrong; see the messages above")
+		}
+		return out, nil
+	}
+}
+
+// setDelays gives every link its delay. Links of peers are as long as the way
+// from the host that opens the connection.
+func setDelays(c *cluster.Cluster) {
+	near := func(net.Addr) time.Duration { return nearDelay }
+	open := func(l *faultproxy.Link, distance func(net.Addr) time.Duration) {
+		l.SetDistance(distance)
+		l.Reset() // Connections that are open have no delay yet.
+	}
+	for _, l := range c.WorkerLinks {
+		open(l, near)
+	}
+	for _, h := range c.Hosts {
+		open(h.StoreLink, near)
+		open(h.PeerLink, func(client net.Addr) time.Duration {
+			for _, from := range c.Hosts {
+				if from.DataCentre != h.DataCentre && opened(from.PID(), client) {
+					return farDelay
+				}
+			}
+			return nearDelay
+		})
+	}
+}
--- a/bench/row.go
+++ b/bench/row.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 )
 
 // Row is one measure with its bound.
@@ -23,23 +24,23 @@
 	Baseline *float64 `json:"baseline"`
 }
 
-// atMost returns a row whose value must not exceed the target.
-func atMost(measure string, value float64, unit string, target float64) Row {
+// AtMost returns a row whose value must not exceed the target.
+func AtMost(measure string, value float64, unit string, target float64) Row {
 	return Row{Measure: measure, Value: value, Unit: unit, Target: &target, Met: value <= target}
 }
 
-// atLeast returns a row whose value must reach the target.
-func atLeast(measure string, value float64, unit string, target float64) Row {
+// AtLeast returns a row whose value must reach the target.
+func AtLeast(measure string, value float64, unit string, target float64) Row {
 	return Row{Measure: measure, Value: value, Unit: unit, Target: &target, AtLeast: true, Met: value >= target}
 }
 
-// figure returns a row without a bound. It is always met.
-func figure(measure string, value float64, unit string) Row {
+// Figure returns a row without a bound. It is always met.
+func Figure(measure string, value float64, unit string) Row {
 	return Row{Measure: measure, Value: value, Unit: unit, Met: true}
 }
 
-// beside adds the figure of a baseline.
-func (r Row) beside(baseline float64) Row {
+// Beside adds the figure of a baseline.
+func (r Row) Beside(baseline float64) Row {
 	r.Baseline = &baseline
 	return r
 }
@@ -70,7 +71,11 @@
 func Run(out io.Writer, measures []Measure, commit string, seed uint64) (*Report, error) {
 	r := &Report{Commit: commit, Seed: seed}
 	for _, m := range measures {
-		for _, row := range m.run(seed) {
+		rows, err := m.Run(seed)
+		if err != nil {
+			return r, fmt.Errorf("measure %s: %w", m.Name, err)
+		}
+		for _, row := range rows {
 			r.Rows = append(r.Rows, row)
 			if _, err := fmt.Fprintln(out, row); err != nil {
 				return r, fmt.Errorf("print row: %w", err)
@@ -98,17 +103,22 @@
 // Measure is one group of rows.
 type Measure struct {
 	Name string
-	run  func(seed uint64) []Row
+	Run  func(seed uint64) ([]Row, error)
+}
+
+// virtual returns a measure in virtual time, which cannot fail.
+func virtual(name string, rows func(seed uint64) []Row) Measure {
+	return Measure{name, func(seed uint64) ([]Row, error) { return rows(seed), nil }}
 }
 
 // Quick lists the measures of `make bench-quick`.
 func Quick() []Measure {
-	return []Measure{{"decision", decisionRows}, {"packing", packingRows}, {"wait", waitRows}}
+	return []Measure{virtual("decision", decisionRows), virtual("packing", packingRows), virtual("wait", waitRows)}
 }
 
-// All lists every measure.
+// All lists every measure in virtual time.
 func All() []Measure {
-	return append(Quick(), Measure{"flood", floodRows}, Measure{"urgent", urgentStartRows}, Measure{"store", storeRows})
+	return append(Quick(), virtual("flood", floodRows), virtual("urgent", urgentStartRows), virtual("store", storeRows))
 }
 
 // Only returns the measures with the given names, or all when none is given.
@@ -117,10 +127,14 @@
 		return measures, nil
 	}
 	var out []Measure
+	var allowed []string
+	for _, m := range measures {
+		allowed = append(allowed, m.Name)
+	}
 	for _, name := range names {
-		i := slices.IndexFunc(measures, func(m Measure) bool { return m.Name == name })
+		i := slices.Index(allowed, name)
 		if i < 0 {
-			return nil, fmt.Errorf("measure %q does not exist; allowed: decision, packing, wait, flood, urgent, store", name)
+			return nil, fmt.Errorf("measure %q does not exist; allowed: %s", name, strings.Join(allowed, ", "))
 		}
 		out = append(out, measures[i])
 	}
--- a/bench/storeload.go
+++ b/bench/storeload.go
@@ -115,11 +115,11 @@
 	}
 	const seconds = float64(storeEndMS-storeWarmMS) / 1000
 	return []Row{
-		atMost("store_writes_per_second", float64(sum.writes)/seconds, "writes/s", writeBound),
-		figure("store_starts_per_second", float64(sum.starts)/seconds, "starts/s"),
-		atMost("store_calls_per_job", float64(sum.reads+sum.writes)/float64(max(1, sum.starts)), "calls", callBound),
-		atMost("heartbeat_bytes_per_node", float64(sum.peerByte)/seconds/targetCentres, "bytes/s", bytesBound),
-		figure("journal_bytes_per_worker", float64(sum.journalBytes)/seconds/targetWorkers, "bytes/s"),
-		figure("journal_bytes_per_owner", float64(sum.journalBytes)/seconds/targetCentres, "bytes/s"),
+		AtMost("store_writes_per_second", float64(sum.writes)/seconds, "writes/s", writeBound),
+		Figure("store_starts_per_second", float64(sum.starts)/seconds, "starts/s"),
+		AtMost("store_calls_per_job", float64(sum.reads+sum.writes)/float64(max(1, sum.starts)), "calls", callBound),
+		AtMost("heartbeat_bytes_per_node", float64(sum.peerByte)/seconds/targetCentres, "bytes/s", bytesBound),
+		Figure("journal_bytes_per_worker", float64(sum.journalBytes)/seconds/targetWorkers, "bytes/s"),
+		Figure("journal_bytes_per_owner", float64(sum.journalBytes)/seconds/targetCentres, "bytes/s"),
 	}
 }
--- a/bench/waiting.go
+++ b/bench/waiting.go
@@ -98,11 +98,11 @@
 		first := percentile(waits(t, "alpha", runBaseline(t, firstFit, 0, floodEndMS).started), 99)
 		name := map[core.KindName]string{"least": "urgent_wait_flood_p99_ratio", "fixed": "urgent_wait_flood_not_preemptible_p99_ratio"}[flood]
 		rows = append(rows,
-			atMost(name, during.Seconds()/before.Seconds(), "ratio", bound).
-				beside(first.Seconds()/max(workerLatency, calmFirst).Seconds()),
-			figure(name[:len(name)-len("_ratio")], during.Seconds(), "s").beside(first.Seconds()))
+			AtMost(name, during.Seconds()/before.Seconds(), "ratio", bound).
+				Beside(first.Seconds()/max(workerLatency, calmFirst).Seconds()),
+			Figure(name[:len(name)-len("_ratio")], during.Seconds(), "s").Beside(first.Seconds()))
 	}
-	return append(rows, figure("urgent_wait_calm_p99", before.Seconds(), "s").beside(calmFirst.Seconds()))
+	return append(rows, Figure("urgent_wait_calm_p99", before.Seconds(), "s").Beside(calmFirst.Seconds()))
 }
 
 // completions counts the jobs of other teams that ended well by the end of the
@@ -143,7 +143,7 @@
 		t := floodTrace(seed, f.kind)
 		kept := completions(t, runCell(t).succeeded()) / without
 		baseline := completions(t, runBaseline(t, firstFit, 0, floodEndMS).ended) / first
-		rows = append(rows, atLeast(f.name, kept, "ratio", bound).beside(baseline))
+		rows = append(rows, AtLeast(f.name, kept, "ratio", bound).Beside(baseline))
 	}
 	return rows
 }
@@ -174,5 +174,5 @@
 	t := urgentStartTrace(seed)
 	p99 := percentile(waits(t, "alpha", runCell(t).Stats.Started), 99)
 	first := percentile(waits(t, "alpha", runBaseline(t, firstFit, 0, floodEndMS).started), 99)
-	return []Row{atMost("urgent_start_full_cell_p99", p99.Seconds(), "s", bound).beside(first.Seconds())}
+	return []Row{AtMost("urgent_start_full_cell_p99", p99.Seconds(), "s", bound).Beside(first.Seconds())}
 }
--- a/cmd/banyanrun-bench/main.go
+++ b/cmd/banyanrun-bench/main.go
@@ -12,6 +12,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"banyanrun.example/banyanrun/bench"
+	"banyanrun.example/banyanrun/bench/processes"
 )
 
 // settings are the command's flags.
@@ -20,7 +21,7 @@
 	Seed     uint64   `long:"seed" env:"BANYANRUN_BENCH_SEED" default:"1" description:"seed of the generated traces"`
 	Out      string   `long:"out" env:"BANYANRUN_BENCH_OUT" default:"out/bench.json" description:"file for the rows as JSON"`
 	Commit   string   `long:"commit" env:"BANYANRUN_BENCH_COMMIT" description:"commit to name in the report; by default that of the build"`
-	Only     []string `long:"only" env:"BANYANRUN_BENCH_ONLY" env-delim:"," description:"run only this measure: decision, packing, wait, flood, urgent or store; repeatable"`
+	Only     []string `long:"only" env:"BANYANRUN_BENCH_ONLY" env-delim:"," description:"run only this measure: decision, packing, wait, flood, urgent, store, takeover, document or share; repeatable"`
 	Profile  string   `long:"profile" env:"BANYANRUN_BENCH_PROFILE" description:"file for a processor profile of the run"`
 	Traces   string   `long:"traces" env:"BANYANRUN_BENCH_TRACES" description:"write the generated traces of both deployments to this folder and stop"`
 	Examples string   `long:"examples" env:"BANYANRUN_BENCH_EXAMPLES" default:"examples" description:"folder of the deployments' documents and topologies, for --traces"`
@@ -76,7 +77,7 @@
 		}
 		defer pprof.StopCPUProfile()
 	}
-	measures := bench.All()
+	measures := append(bench.All(), processes.Measures()...)
 	if set.Quick {
 		measures = bench.Quick()
 	}
--- a/integration/cluster/caller.go
+++ b/integration/cluster/caller.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc/pool"
 
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/standin"
@@ -174,21 +175,29 @@
 	c.T.Errorf("job %s was not accepted within %s: %v", id, Patience, last)
 }
 
+// resolvers is the number of jobs whose outcomes are asked for at a time. One at
+// a time, 1,700 jobs in two data centres took longer than Patience.
+const resolvers = 32
+
 // Resolve waits for the outcome of every job, asking the hosts in turn.
 func (c *Cluster) Resolve() {
 	c.T.Helper()
 	deadline := time.Now().Add(Patience)
+	slots := pool.New().WithMaxGoroutines(resolvers)
 	for _, job := range c.Book.Unresolved() {
-		for n := 0; ; n++ {
-			if c.resolveOnce(job, n) {
-				break
-			}
-			if time.Now().After(deadline) {
-				c.T.Errorf("lost: job %s (%s) has no outcome; latest answer: %s", job.ID, job.Kind, c.Book.Latest(job.ID))
-				break
-			}
-			time.Sleep(askAgain)
+		slots.Go(func() { c.resolve(job, deadline) })
+	}
+	slots.Wait()
+}
+
+// resolve waits for the outcome of one job.
+func (c *Cluster) resolve(job Job, deadline time.Time) {
+	for n := 0; !c.resolveOnce(job, n); n++ {
+		if time.Now().After(deadline) {
+			c.T.Errorf("lost: job %s (%s) has no outcome; latest answer: %s", job.ID, job.Kind, c.Book.Latest(job.ID))
+			return
 		}
+		time.Sleep(askAgain)
 	}
 }
 
--- a/integration/cluster/cluster.go
+++ b/integration/cluster/cluster.go
@@ -42,10 +42,11 @@
 	TempDir() string
 }
 
-// Build builds the entry daemon with the race detector into a folder.
-func Build(folder string) (string, error) {
+// Build builds the entry daemon into a folder with further flags of the build.
+func Build(folder string, flags ...string) (string, error) {
 	binary := filepath.Join(folder, "banyanrun-entry")
-	build := exec.Command("go", "build", "-race", "-o", binary, "banyanrun.example/banyanrun/cmd/banyanrun-entry")
+	args := append(append([]string{"build"}, flags...), "-o", binary, "banyanrun.example/banyanrun/cmd/banyanrun-entry")
+	build := exec.Command("go", args...)
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("build entry daemon: %w\n%s", err, out)
 	}
@@ -56,12 +57,24 @@
 type Config struct {
 	// Binary is the entry daemon.
 	Binary string
-	// DataCentres are named a, b and so on; all are in one region.
+	// DataCentres are named a, b and so on; all are in one region, unless
+	// Apart puts each in a region of its own.
 	DataCentres int
+	Apart       bool
 	// Hosts and Workers are the numbers in each data centre.
 	Hosts   int
 	Workers int
 	Seed    uint64
+	// Flags follow the flags of every host and so override them.
+	Flags []string
+}
+
+// region is the region of a data centre.
+func (c Config) region(dc string) string {
+	if c.Apart {
+		return Region + "-" + dc
+	}
+	return Region
 }
 
 // Cluster is a running set of processes with its accounts.
@@ -110,7 +123,7 @@
 // DataCentre names the i-th data centre.
 func DataCentre(i int) string { return string(rune('a' + i)) }
 
-// Region is the region of all data centres.
+// Region is the region of all data centres that are not apart.
 const Region = "region"
 
 // ipCounter numbers the loopback addresses of this process.
@@ -138,7 +151,7 @@
 func (c *Cluster) startStandin() {
 	var topology standin.Topology
 	for i := range c.cfg.DataCentres {
-		dc := standin.DataCentre{Name: DataCentre(i), Region: Region}
+		dc := standin.DataCentre{Name: DataCentre(i), Region: c.cfg.region(DataCentre(i))}
 		for rack := range 2 {
 			dc.Racks = append(dc.Racks, standin.Rack{
 				Name: fmt.Sprintf("%s-rack-%d", dc.Name, rack),
--- a/integration/cluster/host.go
+++ b/integration/cluster/host.go
@@ -57,7 +57,7 @@
 	h.StoreLink = c.link("127.0.0.1:0", c.Standin.StoreAddress())
 	h.PeerLink = c.link("127.0.0.1:0", h.Address)
 	err := c.Standin.ListHost(context.Background(), wire.ListedHost{
-		ID: h.ID, Address: h.PeerLink.Address(), DataCentre: dc, Region: Region,
+		ID: h.ID, Address: h.PeerLink.Address(), DataCentre: dc, Region: c.cfg.region(dc),
 	})
 	if err != nil {
 		c.T.Fatalf("list host %s: %v", h.ID, err)
@@ -80,7 +80,7 @@
 	defer log.Close()
 	args := []string{
 		"--host", h.ID, "--listen", h.Address, "--advertise", h.PeerLink.Address(),
-		"--data-centre", h.DataCentre, "--region", Region, "--platform", h.StoreLink.Address(),
+		"--data-centre", h.DataCentre, "--region", c.cfg.region(h.DataCentre), "--platform", h.StoreLink.Address(),
 		"--owner-lease", "2s", "--task-lease", "4s", "--sync-wait", "1s",
 		"--store-timeout", "1s", "--worker-timeout", "2s", "--drain-timeout", "60s",
 		"--journal-rate", "20", "--seed", fmt.Sprint(c.cfg.Seed + uint64(c.hosts)),
@@ -88,7 +88,7 @@
 	if os.Getenv(tracesVariable) != "" {
 		args = append(args, "--record", filepath.Join(c.folder, fmt.Sprintf("%s.%d.record", h.ID, h.starts)))
 	}
-	cmd := exec.Command(c.cfg.Binary, args...)
+	cmd := exec.Command(c.cfg.Binary, append(args, c.cfg.Flags...)...)
 	// The proxies carry plain TCP, and who may do what is tested elsewhere.
 	cmd.Env = append(os.Environ(), "BANYANRUN_INSECURE=true")
 	cmd.Stderr = log
@@ -119,6 +119,13 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
+// PID is the id of the latest process.
+func (h *Host) PID() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.Process.Pid
+}
+
 // Pause stops the process without ending it.
 func (h *Host) Pause() { h.signal(syscall.SIGSTOP) }
 
--- /dev/null
+++ b/integration/cluster/reporter.go
@@ -0,0 +1,88 @@
+package cluster
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+)
+
+// Reporter is T outside of a test.
+type Reporter struct {
+	name string
+	out  io.Writer
+
+	mu       sync.Mutex
+	failed   bool
+	cleanups []func()
+}
+
+// stop is the panic that ends a run after Fatalf.
+type stop struct{}
+
+// NewReporter returns a T that prints to out.
+func NewReporter(name string, out io.Writer) *Reporter { return &Reporter{name: name, out: out} }
+
+// Run calls f and then the cleanups, the latest first.
+func (r *Reporter) Run(f func()) {
+	defer func() {
+		for i := len(r.cleanups) - 1; i >= 0; i-- {
+			r.cleanups[i]()
+		}
+	}()
+	defer func() {
+		switch cause := recover().(type) {
+		case nil, stop:
+		default:
+			panic(cause)
+		}
+	}()
+	f()
+}
+
+// Helper implements T.
+func (r *Reporter) Helper() {}
+
+// Name implements T.
+func (r *Reporter) Name() string { return r.name }
+
+// Logf implements T.
+func (r *Reporter) Logf(format string, args ...any) { fmt.Fprintf(r.out, "  "+format+"\n", args...) }
+
+// Errorf implements T.
+func (r *Reporter) Errorf(format string, args ...any) {
+	r.mu.Lock()
+	r.failed = true
+	r.mu.Unlock()
+	r.Logf(format, args...)
+}
+
+// Fatalf implements T. It must be called on the goroutine of the run.
+func (r *Reporter) Fatalf(format string, args ...any) {
+	r.Errorf(format, args...)
+	panic(stop{})
+}
+
+// Failed implements T.
+func (r *Reporter) Failed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
+// Cleanup implements T.
+func (r *Reporter) Cleanup(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cleanups = append(r.cleanups, f)
+}
+
+// TempDir implements T.
+func (r *Reporter) TempDir() string {
+	folder, err := os.MkdirTemp("", "banyanrun-cluster")
+	if err != nil {
+		r.Fatalf("create folder: %v", err)
+	}
+	r.Cleanup(func() { os.RemoveAll(folder) })
+	return folder
+}
--- a/integration/faultproxy/proxy.go
+++ b/integration/faultproxy/proxy.go
@@ -46,6 +46,10 @@
 	faults Faults
 	pairs  map[*pair]struct{}
 	closed bool
+	// distance gives the delay of a new connection by its client's address.
+	distance func(net.Addr) time.Duration
+	// passed counts the bytes of both directions.
+	passed int64
 }
 
 // pair is one forwarded connection.
@@ -55,6 +59,8 @@
 	deadUp, deadDown bool
 	// answered counts the bytes of answers since CutAfter was set.
 	answered int64
+	// distance is added to the delay of the faults.
+	distance time.Duration
 	end      chan struct{}
 	endOnce  sync.Once
 }
@@ -83,6 +89,21 @@
 	}
 }
 
+// SetDistance gives later connections a delay of their own, in both directions,
+// which depends on the client.
+func (l *Link) SetDistance(f func(client net.Addr) time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.distance = f
+}
+
+// Passed returns the bytes that the link has forwarded in both directions.
+func (l *Link) Passed() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.passed
+}
+
 // Reset resets every open connection.
 func (l *Link) Reset() {
 	l.mu.Lock()
@@ -128,7 +149,7 @@
 // forward connects to the target and copies both ways.
 func (l *Link) forward(client *net.TCPConn) {
 	l.mu.Lock()
-	refuse := l.faults.Refuse || l.closed
+	refuse, distance := l.faults.Refuse || l.closed, l.distance
 	l.mu.Unlock()
 	if refuse {
 		resetConn(client)
@@ -140,6 +161,9 @@
 		return
 	}
 	p := &pair{client: client, server: server.(*net.TCPConn), end: make(chan struct{})}
+	if distance != nil {
+		p.distance = distance(client.RemoteAddr())
+	}
 	l.mu.Lock()
 	l.pairs[p] = struct{}{}
 	if l.closed {
@@ -197,10 +221,12 @@
 		left := f.CutAfter - p.answered
 		p.answered += int64(n)
 		if int64(n) >= left {
-			return int(max(0, left)), f.Delay, true
+			l.passed += max(0, left)
+			return int(max(0, left)), f.Delay + p.distance, true
 		}
 	}
-	return n, f.Delay, false
+	l.passed += int64(n)
+	return n, f.Delay + p.distance, false
 }
 
 // finish passes the end of one direction on. A silent direction hides it.
--- a/integration/main_test.go
+++ b/integration/main_test.go
@@ -18,7 +18,7 @@
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "banyanrun-integration")
 	if err == nil {
-		binary, err = cluster.Build(folder)
+		binary, err = cluster.Build(folder, "-race")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/integration/soak/main.go
+++ b/integration/soak/main.go
@@ -34,7 +34,7 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	binary, err := cluster.Build(folder)
+	binary, err := cluster.Build(folder, "-race")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
@@ -58,8 +58,8 @@
 
 // play plays one round and reports whether its accounts are right.
 func play(binary string, seed uint64) bool {
-	t := newReporter(fmt.Sprintf("seed-%d", seed))
-	t.run(func() { round(t, binary, seed) })
+	t := cluster.NewReporter(fmt.Sprintf("seed-%d", seed), os.Stdout)
+	t.Run(func() { round(t, binary, seed) })
 	verdict := "ok"
 	if t.Failed() {
 		verdict = "FAILED; repeat with --rounds 1 --seed " + fmt.Sprint(seed)
--- a/integration/soak/round.go
+++ b/integration/soak/round.go
@@ -105,7 +105,7 @@
 }
 
 // round plays one pair of faults under load.
-func round(t *reporter, binary string, seed uint64) {
+func round(t *cluster.Reporter, binary string, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, seed))
 	first, second := faults[r.IntN(len(faults))], faults[r.IntN(len(faults))]
 	t.Logf("%s; %s", first.name, second.name)
