Add stated mixes and waiting times to the load tool

A run could only play a trace, reported answer times alone and counted lost jobs without the ledger. A mix states rates by kind. With the ledger the report counts accepted jobs without an outcome, completed work that no worker ran, tasks in two places and refusals of work that was started, and gives the times from due to first start by kind; the picture has a panel for each of the two times. A test runs a mix against a daemon in its process.

--- a/cmd/banyanrun-load/main.go
+++ b/cmd/banyanrun-load/main.go
@@ -1,4 +1,5 @@
-// Command banyanrun-load plays a trace against running entry hosts.
+// Command banyanrun-load plays a trace or a stated mix against running entry
+// hosts.
 package main
 
 import (
@@ -19,7 +20,8 @@
 
 // settings are the command's flags.
 type settings struct {
-	Trace      string        `long:"trace" env:"BANYANRUN_LOAD_TRACE" required:"yes" description:"trace file"`
+	Trace      string        `long:"trace" env:"BANYANRUN_LOAD_TRACE" description:"trace file"`
+	Mix        string        `long:"mix" env:"BANYANRUN_LOAD_MIX" description:"file with the rates of a mix by kind, instead of a trace"`
 	Hosts      []string      `long:"host" env:"BANYANRUN_LOAD_HOSTS" env-delim:"," default:"127.0.0.1:7600" description:"ip:port of an entry host; repeatable"`
 	Admin      string        `long:"ledger" env:"BANYANRUN_LOAD_LEDGER" description:"ip:port of the stand-in's administration, for lost and doubled"`
 	Speed      float64       `long:"speed" env:"BANYANRUN_LOAD_SPEED" default:"60" description:"divides the arrival and run times of the trace"`
@@ -52,7 +54,7 @@
 
 // play carries out the run and prints its report.
 func play(set *settings) error {
-	trace, err := bench.Load(set.Trace)
+	name, arrivals, err := arrivals(set)
 	if err != nil {
 		return err
 	}
@@ -62,7 +64,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	report, err := load.Run(ctx, load.Config{
-		Trace: trace, Hosts: set.Hosts, Admin: set.Admin, Speed: set.Speed, Prefix: set.Prefix,
+		Arrivals: arrivals, Hosts: set.Hosts, Admin: set.Admin, Prefix: set.Prefix,
 		Settle: set.Settle, MaxOpen: set.MaxOpen, Progress: progress,
 	})
 	if err != nil {
@@ -73,13 +75,33 @@
 		return fmt.Errorf("print report: %w", err)
 	}
 	for _, path := range set.Picture {
-		if err := load.Draw(path, trace.Name, report.Points, set.FloodFrom, set.FloodUntil); err != nil {
+		if err := report.Draw(path, name, set.FloodFrom, set.FloodUntil); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// arrivals reads the trace or the mix.
+func arrivals(set *settings) (name string, list []load.Arrival, err error) {
+	switch {
+	case (set.Trace == "") == (set.Mix == ""):
+		return "", nil, errors.New("exactly one of --trace and --mix is required")
+	case set.Trace != "":
+		trace, err := bench.Load(set.Trace)
+		if err != nil {
+			return "", nil, err
+		}
+		list, err = load.FromTrace(trace, set.Speed)
+		return trace.Name, list, err
+	}
+	mix, err := load.ReadMix(set.Mix)
+	if err != nil {
+		return "", nil, err
+	}
+	return mix.Name, mix.Arrivals(), nil
+}
+
 // progress rewrites the line of progress.
 func progress(l load.Line) {
 	fmt.Fprintf(os.Stderr, "\r%6.0fs due %d accepted %d completed %d failed %d not_run %d may_have_run %d open %d p50 %s p99 %s ",
--- a/load/accounts.go
+++ b/load/accounts.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin"
 )
 
 // Event is one input of the accounts.
@@ -34,6 +35,12 @@
 	}
 	// Elapsed asks for a line of progress.
 	Elapsed struct{}
+	// LedgerRead is the account of all workers after the run.
+	LedgerRead struct {
+		Ledger *standin.Ledger
+		// Began is the wall clock at the start of the run.
+		Began time.Time
+	}
 )
 
 // Arrival is one job or call of a run.
@@ -49,6 +56,9 @@
 	CancelAt time.Duration
 }
 
+// name is the team and kind in reports.
+func (a Arrival) name() string { return string(a.Team) + "/" + string(a.Kind) }
+
 // Outcome is what the caller knows at the end.
 type Outcome string
 
@@ -81,7 +91,7 @@
 
 func (Progress) effect() {}
 
-// Point is the time that one arrival took, by its due time.
+// Point is a time that one arrival took, by its due time.
 type Point struct {
 	Due  time.Duration
 	Took time.Duration
@@ -89,11 +99,16 @@
 
 // Accounts is the reducer. It is not safe for concurrent use.
 type Accounts struct {
-	open    map[core.JobID]Arrival
-	line    Line
-	took    *hdrhistogram.Histogram
-	reasons map[core.Reason]int
-	points  map[string][]Point
+	due      map[core.JobID]Arrival
+	open     map[core.JobID]bool
+	accepted map[core.JobID]bool
+	outcomes map[core.JobID]Outcome
+	line     Line
+	took     *hdrhistogram.Histogram
+	reasons  map[core.Reason]int
+	// answers and waits are by team and kind.
+	answers, waits map[string][]Point
+	findings       *Findings
 }
 
 // longest is the greatest time that the histogram tells apart.
@@ -103,7 +118,9 @@
 func NewAccounts() *Accounts {
 	const digits = 3
 	return &Accounts{
-		open: map[core.JobID]Arrival{}, reasons: map[core.Reason]int{}, points: map[string][]Point{},
+		due: map[core.JobID]Arrival{}, open: map[core.JobID]bool{}, accepted: map[core.JobID]bool{},
+		outcomes: map[core.JobID]Outcome{}, reasons: map[core.Reason]int{},
+		answers: map[string][]Point{}, waits: map[string][]Point{},
 		took: hdrhistogram.New(1, longest.Microseconds(), digits),
 	}
 }
@@ -113,15 +130,18 @@
 	switch b := e.Body.(type) {
 	case Due:
 		a.line.Due++
-		a.open[b.Arrival.ID] = b.Arrival
+		a.due[b.Arrival.ID], a.open[b.Arrival.ID] = b.Arrival, true
 	case Accepted:
 		a.line.Accepted++
+		a.accepted[b.ID] = true
 	case Answered:
 		a.answered(e.At, b)
 	case Elapsed:
 		a.line.At, a.line.InFlight = e.At, len(a.open)
 		a.line.P50, a.line.P99 = a.percentile(50), a.percentile(99)
 		return []Effect{Progress{a.line}}
+	case LedgerRead:
+		a.reconcile(b.Ledger, b.Began)
 	}
 	return nil
 }
@@ -130,11 +150,12 @@
 // due and not from when it was sent, so that a tool or host that falls behind
 // cannot hide the wait (coordinated omission).
 func (a *Accounts) answered(now time.Duration, b Answered) {
-	arrival, ok := a.open[b.ID]
-	if !ok {
+	if !a.open[b.ID] {
 		return // A second answer would count twice.
 	}
+	arrival := a.due[b.ID]
 	delete(a.open, b.ID)
+	a.outcomes[b.ID] = b.State
 	if b.Reason != "" {
 		a.reasons[b.Reason]++
 	}
@@ -144,8 +165,7 @@
 		took := now - arrival.At
 		// The value is within the histogram's range.
 		_ = a.took.RecordValue(min(max(1, took.Microseconds()), longest.Microseconds()))
-		name := string(arrival.Team) + "/" + string(arrival.Kind)
-		a.points[name] = append(a.points[name], Point{arrival.At, took})
+		a.answers[arrival.name()] = append(a.answers[arrival.name()], Point{arrival.At, took})
 	case Failed:
 		a.line.Failed++
 	case Cancelled:
--- a/load/accounts_test.go
+++ b/load/accounts_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/standin"
 	"banyanrun.example/banyanrun/standin/worker"
 )
@@ -22,22 +23,45 @@
 	if line.Due != 2 || line.Completed != 1 || line.Unanswered != 1 || line.InFlight != 0 {
 		t.Errorf("line is %+v; want 2 due, 1 completed, 1 unanswered, none open", line)
 	}
-	if got := a.points["alpha/batch"][0].Took; got != 10*time.Second {
+	if got := a.answers["alpha/batch"][0].Took; got != 10*time.Second {
 		t.Errorf("time is %s; want 10s from the due time", got)
 	}
 }
 
-// A ledger with overlapping runs of one task must show as doubled, and a retry
-// after the first run ended must not.
-func TestReconcileCountsOverlappingRuns(t *testing.T) {
-	entry := func(job string, from, to int64) worker.Entry {
-		return worker.Entry{Job: job, StartUnixUS: from, EndUnixUS: to}
+// Runs that overlap, a completed job that no worker ran to its end and a refusal
+// of work that was started must each show, and a retry after the first run ended
+// must not.
+func TestReconcileFindsWhatTheLedgerContradicts(t *testing.T) {
+	entry := func(job string, from, to int64, o worker.Outcome) worker.Entry {
+		return worker.Entry{Job: job, StartUnixUS: from, EndUnixUS: to, Outcome: o}
 	}
+	const done, failed = worker.OutcomeSucceeded, worker.OutcomeFailed
 	ledger := &standin.Ledger{Workers: []worker.Report{
-		{Entries: []worker.Entry{entry("p-1", 10, 30), entry("p-2", 10, 20), entry("other", 10, 0)}},
-		{Entries: []worker.Entry{entry("p-1", 20, 40), entry("p-2", 20, 40), entry("other", 20, 0)}},
+		{Entries: []worker.Entry{
+			entry("overlaps", 10e6, 30e6, done), entry("retried", 10e6, 20e6, failed),
+			entry("of another run", 10e6, 0, ""), entry("refused", 9e6, 10e6, done), entry("unfinished", 9e6, 10e6, failed),
+		}},
+		{Entries: []worker.Entry{
+			entry("overlaps", 20e6, 40e6, done), entry("retried", 20e6, 40e6, done), entry("of another run", 20e6, 0, ""),
+		}},
 	}}
-	if _, doubled := NewAccounts().reconcile(ledger, "p-"); doubled != 1 {
-		t.Errorf("%d doubled; want 1", doubled)
+	a := NewAccounts()
+	for id, o := range map[core.JobID]Outcome{
+		"overlaps": Completed, "retried": Completed, "refused": NotRun, "unfinished": Completed, "no answer": Unanswered,
+	} {
+		a.Step(Event{Body: Due{Arrival{ID: id, Team: "alpha", Kind: "batch", At: time.Second}}})
+		a.Step(Event{Body: Accepted{id}})
+		a.Step(Event{Body: Answered{ID: id, State: o}})
+	}
+	a.Step(Event{Body: LedgerRead{Ledger: ledger, Began: time.Unix(7, 0)}})
+	if want := (Findings{Lost: 2, Doubled: 1, FalseRefusals: 1}); *a.findings != want {
+		t.Errorf("findings are %+v; want %+v", *a.findings, want)
+	}
+	waits := map[time.Duration]int{}
+	for _, p := range a.waits["alpha/batch"] {
+		waits[p.Took]++
+	}
+	if waits[2*time.Second] != 2 || waits[time.Second] != 2 {
+		t.Errorf("waits are %v; want two of 2s and two of 1s from the due time to the first start", waits)
 	}
 }
--- /dev/null
+++ b/load/http_test.go
@@ -0,0 +1,118 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"banyanrun.example/banyanrun/embedded"
+	"banyanrun.example/banyanrun/entry"
+	"banyanrun.example/banyanrun/load"
+	"banyanrun.example/banyanrun/wire"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// daemon runs an embedded daemon in this process and applies a document. It
+// returns the daemon's address and that of the ledger.
+func daemon(t *testing.T, documentPath, team string) (host, admin string) {
+	t.Helper()
+	var set entry.Settings
+	if _, err := flags.ParseArgs(&set, []string{"--listen", freeAddress(t), "--data-centre", "dc"}); err != nil {
+		t.Fatal(err)
+	}
+	platform, err := embedded.Start(&set, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := entry.New(set, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var run conc.WaitGroup
+	run.Go(func() {
+		if err := d.Run(ctx); err != nil {
+			t.Errorf("daemon: %v", err)
+		}
+	})
+	t.Cleanup(platform.Close)
+	t.Cleanup(run.Wait)
+	t.Cleanup(stop)
+	document, err := os.ReadFile(documentPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for put(set.Listen, team, document) != http.StatusOK {
+		if t.Context().Err() != nil {
+			t.Fatal("the document was not accepted before the test's deadline")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return set.Listen, platform.StoreAddress()
+}
+
+// put applies a document and returns the status, or 0 without an answer.
+func put(host, team string, document []byte) int {
+	req, err := http.NewRequest(http.MethodPut, "http://"+host+wire.PathDocuments+"/"+team, bytes.NewReader(document))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set(wire.HeaderIfMatch, "0")
+	req.Header.Set(wire.HeaderAuthor, "operator")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// freeAddress picks a loopback address whose port is free.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A tool that sends what the daemon's API does not understand, or that misreads
+// its answers or the ledger, would report a run that did not happen.
+func TestRunOfAMixMatchesTheLedgerOfADaemon(t *testing.T) {
+	host, admin := daemon(t, filepath.Join("..", "examples", "prairie", "document.json"), "prairie")
+	mix := load.Mix{Name: "test", Seed: 1, DurationMS: 2000, Rates: []load.Rate{
+		{Team: "prairie", Kind: "strand-mapping", PerSecond: 10, RunMS: 50},
+		{Team: "prairie", Kind: "bulb-check", Call: true, PerSecond: 10, RunMS: 20},
+	}}
+	arrivals := mix.Arrivals()
+	arrivals = append(arrivals, load.Arrival{ID: "unknown", Team: "prairie", Kind: "no-such-kind", RunMS: 1})
+	report, err := load.Run(t.Context(), load.Config{
+		Arrivals: arrivals, Hosts: []string{host}, Admin: admin, Prefix: "t-", Settle: time.Minute, MaxOpen: 500,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := len(arrivals) - 1; report.Completed != want || report.NotRun != 1 || report.Due != want+1 {
+		t.Errorf("report is %+v; want %d due, %d completed and the unknown kind not run", report.Line, want+1, want)
+	}
+	if report.Findings == nil || *report.Findings != (load.Findings{}) {
+		t.Errorf("findings are %+v; want none", report.Findings)
+	}
+	for _, kind := range []string{"prairie/strand-mapping", "prairie/bulb-check"} {
+		k := report.Kinds[kind]
+		if k.Answered == 0 || k.Started != k.Answered || k.WaitP99 > k.AnswerP99 {
+			t.Errorf("times of %s are %+v; want a start for each answer, and no wait beyond it", kind, k)
+		}
+	}
+}
--- a/load/plot.go
+++ b/load/plot.go
@@ -4,26 +4,69 @@
 	"fmt"
 	"image/color"
 	"maps"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 )
 
-// Size of a picture.
+// Size of one panel of a picture.
 const (
-	pictureWidth  = 16 * vg.Centimeter
-	pictureHeight = 9 * vg.Centimeter
+	panelWidth  = 16 * vg.Centimeter
+	panelHeight = 9 * vg.Centimeter
 )
 
-// Draw writes the times to completion by kind over the due time. The flood is
-// shaded if until is after from. The form follows the path's extension.
-func Draw(path, title string, points map[string][]Point, from, until time.Duration) error {
+// Draw writes the waiting and answer times by kind over the due time, one panel
+// each; without a ledger there are no waiting times and no panel of them. The
+// flood is shaded if until is after from. The form follows the path's extension.
+func (r *Report) Draw(path, title string, from, until time.Duration) error {
+	var panels [][]*plot.Plot
+	for _, part := range []struct {
+		label  string
+		points map[string][]Point
+	}{{"submit to start (s)", r.Waits}, {"submit to answer (s)", r.Answers}} {
+		if len(part.points) == 0 {
+			continue
+		}
+		p, err := panel(title, part.label, part.points, from, until)
+		if err != nil {
+			return err
+		}
+		panels = append(panels, []*plot.Plot{p})
+	}
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	canvas, err := draw.NewFormattedCanvas(panelWidth, panelHeight*vg.Length(max(1, len(panels))), format)
+	if err != nil {
+		return fmt.Errorf("draw picture %s: %w", path, err)
+	}
+	if len(panels) > 0 {
+		tiles := draw.Tiles{Rows: len(panels), Cols: 1}
+		for i, row := range plot.Align(panels, tiles, draw.New(canvas)) {
+			panels[i][0].Draw(row[0])
+		}
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("create picture: %w", err)
+	}
+	defer file.Close()
+	if _, err := canvas.WriteTo(file); err != nil {
+		return fmt.Errorf("write picture: %w", err)
+	}
+	return file.Close()
+}
+
+// panel draws points by kind.
+func panel(title, label string, points map[string][]Point, from, until time.Duration) (*plot.Plot, error) {
 	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "due (s)", "submit to answer (s)"
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "due (s)", label
 	p.Legend.Top = true
 	highest := 0.0
 	for i, name := range slices.Sorted(maps.Keys(points)) {
@@ -34,7 +77,7 @@
 		}
 		dots, err := plotter.NewScatter(xy)
 		if err != nil {
-			return fmt.Errorf("plot %s: %w", name, err)
+			return nil, fmt.Errorf("plot %s: %w", name, err)
 		}
 		dots.Color, dots.Radius = plotutil.Color(i), vg.Points(1)
 		p.Add(dots)
@@ -46,15 +89,12 @@
 			{X: until.Seconds(), Y: highest}, {X: from.Seconds(), Y: highest},
 		})
 		if err != nil {
-			return fmt.Errorf("plot flood: %w", err)
+			return nil, fmt.Errorf("plot flood: %w", err)
 		}
 		shade.Color = color.NRGBA{R: 255, A: 30}
 		shade.Width = 0
 		p.Add(shade)
 		p.Legend.Add("flood", shade)
 	}
-	if err := p.Save(pictureWidth, pictureHeight, path); err != nil {
-		return fmt.Errorf("write picture: %w", err)
-	}
-	return nil
+	return p, nil
 }
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,173 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/standin/worker"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Line
+	Reasons map[core.Reason]int `json:"reasons"`
+	// Findings come from the ledger and are nil without one.
+	Findings *Findings `json:"findings"`
+	// Kinds holds the times by team and kind.
+	Kinds   map[string]Times   `json:"kinds"`
+	Answers map[string][]Point `json:"-"`
+	Waits   map[string][]Point `json:"-"`
+}
+
+// Findings count what the ledger of the workers contradicts.
+type Findings struct {
+	// Lost counts accepted jobs without a final answer, and arrivals answered
+	// as completed that no worker ran to its end.
+	Lost int `json:"lost"`
+	// Doubled counts arrivals of which a task ran in two places at a moment.
+	Doubled int `json:"doubled"`
+	// FalseRefusals counts arrivals answered as not run that were started.
+	FalseRefusals int `json:"false_refusals"`
+}
+
+// Times are percentiles in seconds. A wait lasts from the due time to the first
+// start at a worker, and needs a ledger; an answer is that of completed work.
+type Times struct {
+	Answered  int     `json:"answered"`
+	AnswerP50 float64 `json:"answer_p50"`
+	AnswerP99 float64 `json:"answer_p99"`
+	Started   int     `json:"started"`
+	WaitP50   float64 `json:"wait_p50"`
+	WaitP99   float64 `json:"wait_p99"`
+}
+
+// report closes the accounts and checks them against the ledger.
+func (r *Runner) report(ctx context.Context) (*Report, error) {
+	a := r.accounts
+	a.Step(Event{At: r.since(), Body: Elapsed{}})
+	if r.cfg.Admin != "" {
+		ledger, err := r.ledger(ctx)
+		if err != nil {
+			return nil, err
+		}
+		a.Step(Event{At: r.since(), Body: LedgerRead{Ledger: ledger, Began: r.started}})
+	}
+	out := &Report{
+		Line: a.line, Reasons: a.reasons, Findings: a.findings, Answers: a.answers, Waits: a.waits,
+		Kinds: map[string]Times{},
+	}
+	for _, arrival := range a.due {
+		answers, waits := a.answers[arrival.name()], a.waits[arrival.name()]
+		out.Kinds[arrival.name()] = Times{
+			Answered: len(answers), AnswerP50: percentile(answers, 50), AnswerP99: percentile(answers, 99),
+			Started: len(waits), WaitP50: percentile(waits, 50), WaitP99: percentile(waits, 99),
+		}
+	}
+	return out, nil
+}
+
+// percentile returns a percentile of the times in seconds, or 0 for none.
+func percentile(points []Point, p int) float64 {
+	if len(points) == 0 {
+		return 0
+	}
+	took := make([]time.Duration, 0, len(points))
+	for _, pt := range points {
+		took = append(took, pt.Took)
+	}
+	slices.Sort(took)
+	return took[min(len(took)-1, len(took)*p/100)].Seconds()
+}
+
+// ledger reads the account of all workers from the stand-in.
+func (r *Runner) ledger(ctx context.Context) (*standin.Ledger, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.cfg.Admin+standin.PathAdminLedger, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request for ledger: %w", err)
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("read ledger: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("read ledger: status %s", resp.Status)
+	}
+	var ledger standin.Ledger
+	if err := json.NewDecoder(resp.Body).Decode(&ledger); err != nil {
+		return nil, fmt.Errorf("decode ledger: %w", err)
+	}
+	return &ledger, nil
+}
+
+// span is one run of a task, in microseconds.
+type span struct{ from, to int64 }
+
+// reconcile compares the answers with the ledger and takes the waits from it. The
+// tool and the workers must have the same clock.
+func (a *Accounts) reconcile(ledger *standin.Ledger, began time.Time) {
+	runs := map[core.JobID]map[int][]span{}
+	succeeded := map[core.JobID]bool{}
+	for _, w := range ledger.Workers {
+		for _, e := range w.Entries {
+			id := core.JobID(e.Job)
+			if _, ok := a.due[id]; !ok {
+				continue
+			}
+			if runs[id] == nil {
+				runs[id] = map[int][]span{}
+			}
+			runs[id][e.Task] = append(runs[id][e.Task], span{e.StartUnixUS, e.EndUnixUS})
+			succeeded[id] = succeeded[id] || e.Outcome == worker.OutcomeSucceeded
+		}
+	}
+	a.findings = &Findings{}
+	for id, arrival := range a.due {
+		outcome := a.outcomes[id]
+		unresolved := a.accepted[id] && (outcome == "" || outcome == Unanswered)
+		if unresolved || outcome == Completed && !succeeded[id] {
+			a.findings.Lost++
+		}
+		if outcome == NotRun && len(runs[id]) > 0 {
+			a.findings.FalseRefusals++
+		}
+		if overlapping(runs[id]) {
+			a.findings.Doubled++
+		}
+		if first, ok := firstStart(runs[id]); ok {
+			wait := time.UnixMicro(first).Sub(began.Add(arrival.At))
+			a.waits[arrival.name()] = append(a.waits[arrival.name()], Point{arrival.At, max(0, wait)})
+		}
+	}
+}
+
+// overlapping reports whether a task ran in two places at a moment.
+func overlapping(tasks map[int][]span) bool {
+	for _, spans := range tasks {
+		slices.SortFunc(spans, func(x, y span) int { return int(x.from - y.from) })
+		for i := 1; i < len(spans); i++ {
+			if end := spans[i-1].to; end == 0 || spans[i].from < end {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// firstStart returns the earliest start of any task.
+func firstStart(tasks map[int][]span) (first int64, ok bool) {
+	for _, spans := range tasks {
+		for _, s := range spans {
+			if !ok || s.from < first {
+				first, ok = s.from, true
+			}
+		}
+	}
+	return first, ok
+}
--- a/load/run.go
+++ b/load/run.go
@@ -2,35 +2,33 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"banyanrun.example/banyanrun/bench"
 	"banyanrun.example/banyanrun/control"
 	"banyanrun.example/banyanrun/core"
-	"banyanrun.example/banyanrun/standin"
 	"banyanrun.example/banyanrun/standin/worker"
 	"banyanrun.example/banyanrun/wire"
 )
 
 // Config describes a run.
 type Config struct {
-	Trace *bench.Trace
+	// Arrivals are the jobs and calls of the run, as FromTrace or a Mix gives
+	// them.
+	Arrivals []Arrival
 	// Hosts are the ip:port of entry hosts, used in turn.
 	Hosts []string
 	// Admin is the stand-in's ip:port for its ledger, or empty.
 	Admin string
-	// Speed divides the times of the trace.
-	Speed float64
 	// Prefix makes the ids of a run unique.
 	Prefix string
 	// Settle bounds the wait for answers after the last arrival.
@@ -58,9 +56,8 @@
 
 // Run makes every arrival at its time and returns the report.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	if len(cfg.Hosts) == 0 || cfg.Speed <= 0 || cfg.MaxOpen < 1 {
-		return nil, fmt.Errorf("a run needs hosts (%d), a speed (%g) and open requests (%d) above zero",
-			len(cfg.Hosts), cfg.Speed, cfg.MaxOpen)
+	if len(cfg.Hosts) == 0 || cfg.MaxOpen < 1 {
+		return nil, fmt.Errorf("a run needs hosts (%d) and open requests (%d) above zero", len(cfg.Hosts), cfg.MaxOpen)
 	}
 	r := &Runner{
 		cfg: cfg, accounts: NewAccounts(), started: time.Now(), slots: make(chan struct{}, cfg.MaxOpen),
@@ -90,21 +87,13 @@
 
 func (r *Runner) since() time.Duration { return time.Since(r.started) }
 
-// arrivals converts the jobs of the trace.
+// arrivals returns the arrivals in the order of their times, with the prefix.
 func (r *Runner) arrivals() []Arrival {
-	scale := func(ms int64) time.Duration {
-		return time.Duration(float64(ms) * float64(time.Millisecond) / r.cfg.Speed)
+	out := slices.Clone(r.cfg.Arrivals)
+	for i := range out {
+		out[i].ID = core.JobID(r.cfg.Prefix) + out[i].ID
 	}
-	var out []Arrival
-	for i := range r.cfg.Trace.Jobs {
-		j := &r.cfg.Trace.Jobs[i]
-		out = append(out, Arrival{
-			ID: core.JobID(r.cfg.Prefix + string(j.ID)), Team: j.Team, Kind: j.Kind, At: scale(j.AtMS),
-			Interactive: r.cfg.Trace.Kind(j).Urgency == core.Interactive,
-			RunMS:       max(1, scale(j.RunMS).Milliseconds()), Fails: j.Fails, CancelAt: scale(j.CancelMS),
-		})
-	}
-	slices.SortStableFunc(out, func(a, b Arrival) int { return int(a.At - b.At) })
+	slices.SortStableFunc(out, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
 	return out
 }
 
@@ -258,70 +247,3 @@
 	}
 	return data, outcome, core.Reason(resp.Header.Get(wire.HeaderReason))
 }
-
-// Report is the result of a run.
-type Report struct {
-	Line
-	Reasons map[core.Reason]int `json:"reasons"`
-	// Lost and Doubled come from the ledger; they are -1 without one.
-	Lost    int                `json:"lost"`
-	Doubled int                `json:"doubled"`
-	Points  map[string][]Point `json:"-"`
-}
-
-// report closes the accounts and checks them against the ledger.
-func (r *Runner) report(ctx context.Context) (*Report, error) {
-	r.accounts.Step(Event{At: r.since(), Body: Elapsed{}})
-	out := &Report{Line: r.accounts.line, Reasons: r.accounts.reasons, Lost: -1, Doubled: -1, Points: r.accounts.points}
-	if r.cfg.Admin == "" {
-		return out, nil
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.cfg.Admin+standin.PathAdminLedger, nil)
-	if err != nil {
-		return out, fmt.Errorf("build request for ledger: %w", err)
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return out, fmt.Errorf("read ledger: %w", err)
-	}
-	defer resp.Body.Close()
-	var ledger standin.Ledger
-	if err := json.NewDecoder(resp.Body).Decode(&ledger); err != nil {
-		return out, fmt.Errorf("decode ledger: %w", err)
-	}
-	out.Lost, out.Doubled = r.accounts.reconcile(&ledger, r.cfg.Prefix)
-	return out, nil
-}
-
-// reconcile counts the jobs that were accepted and never answered, and the tasks
-// that ran in two places at one moment.
-func (a *Accounts) reconcile(ledger *standin.Ledger, prefix string) (lost, doubled int) {
-	type span struct{ from, to int64 }
-	type taskID struct {
-		job  string
-		task int
-	}
-	runs := map[taskID][]span{}
-	for _, w := range ledger.Workers {
-		for _, e := range w.Entries {
-			if strings.HasPrefix(e.Job, prefix) {
-				to := e.EndUnixUS
-				if to == 0 {
-					to = 1<<63 - 1
-				}
-				id := taskID{e.Job, e.Task}
-				runs[id] = append(runs[id], span{e.StartUnixUS, to})
-			}
-		}
-	}
-	for _, spans := range runs {
-		slices.SortFunc(spans, func(x, y span) int { return int(x.from - y.from) })
-		for i := 1; i < len(spans); i++ {
-			if spans[i].from < spans[i-1].to {
-				doubled++
-				break
-			}
-		}
-	}
-	return a.line.Unanswered, doubled
-}
