Poll the lease at once when the owner falls silent

A follower that hears the owner sets its next read of the lease up to 15 s ahead and kept to it after the owner died, so a takeover waited for it. The read now comes within a second of the owner's silence.

--- a/core/ownership.go
+++ b/core/ownership.go
@@ -139,6 +139,11 @@
 		r.becomeStandbyOwner()
 		return
 	}
+	if silent >= ownerSilence {
+		// The next read was set for an owner that was heard, up to
+		// leasePollWithOwner ahead.
+		o.nextPoll = min(o.nextPoll, r.now.Add(leasePoll))
+	}
 	if r.now < o.nextPoll {
 		return
 	}
--- /dev/null
+++ b/virtual/takeover_test.go
@@ -0,0 +1,26 @@
+package virtual
+
+import (
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// Guards against followers that keep to the slow poll, which they set while they
+// heard the owner, after the owner has died. Takeovers on real processes then took
+// up to 19 s. The bound of the design page is lease + 5 s, in virtual time.
+func TestTakeoverKeepsItsBound(t *testing.T) {
+	const bound = core.DefaultOwnerLease + 5*time.Second
+	for seed := range uint64(8) {
+		c := testCluster(seed)
+		owner := settle(t, c)
+		c.RunFor(40*time.Second + time.Duration(seed)*time.Second)
+		c.KillHost(owner)
+		killed := c.Now()
+		c.RunWhile(time.Minute, func() bool { o := c.Owner("a"); return o == "" || o == owner })
+		if took := c.Now().Sub(killed); took > bound {
+			t.Errorf("seed %d: takeover took %s; want at most %s", seed, took, bound)
+		}
+	}
+}
