--- /dev/null
+++ b/core/clean.go
@@ -0,0 +1,146 @@
+package core
+
+const (
+	// cleanAfter is the least number of groups that starts a cleaning.
+	cleanAfter = 64
+	// cleanBatch is how many of the oldest groups one cleaning rewrites.
+	cleanBatch = 32
+	// cleanFactor is how much larger than the live records the journal must
+	// be. Without it a long queue was written again and again, and new records
+	// waited behind the copies.
+	cleanFactor = 2
+	// copyShare is the part of a group that copies may take, so that they never
+	// hold up new records.
+	copyShare = 2
+)
+
+// noteGroup remembers a group that is in the store.
+func (j *journal) noteGroup(g *JournalGroup) {
+	w := writtenGroup{sequence: g.Sequence, opening: g.Opening}
+	for i := range g.Records {
+		w.jobs = append(w.jobs, g.Records[i].Job)
+		w.bytes += g.Records[i].size()
+	}
+	j.written += w.bytes
+	j.groups = append(j.groups, w)
+}
+
+// cleanJournal keeps the journal short: the records of live jobs in the oldest
+// groups are written again at the end, and then the groups are deleted.
+func (r *Reducer) cleanJournal() {
+	j := &r.journal
+	if j.cleaning != nil {
+		if len(j.copyQueue) == 0 && j.sequence >= j.copiedBy {
+			r.deleteCleaned()
+		}
+		return
+	}
+	if r.needsCleaning() {
+		j.cleaning = j.takeOldest()
+		j.copyQueue, j.copiedBy = r.liveJobs(j.cleaning), j.sequence
+	}
+}
+
+// needsCleaning reports whether the journal is much larger than its live records,
+// in groups or in bytes.
+func (r *Reducer) needsCleaning() bool {
+	j, live := &r.journal, r.jobs.recordBytes
+	if len(j.groups) < cleanAfter {
+		return false
+	}
+	fullGroups := live / maxGroupBytes
+	return j.written > cleanFactor*live+maxGroupBytes || len(j.groups) > cleanAfter+2*cleanFactor*fullGroups
+}
+
+// takeOldest removes the oldest groups from the list, except for the latest
+// opening groups.
+func (j *journal) takeOldest() []writtenGroup {
+	openings := 0
+	for i := range j.groups {
+		if j.groups[i].opening {
+			openings++
+		}
+	}
+	taken, kept := []writtenGroup{}, j.groups[:0]
+	for _, g := range j.groups {
+		if g.opening {
+			openings--
+		}
+		if len(taken) == cleanBatch || (g.opening && openings < keptOpenings) {
+			kept = append(kept, g)
+			continue
+		}
+		taken = append(taken, g)
+		j.written -= g.bytes
+	}
+	j.groups = kept
+	return taken
+}
+
+// liveJobs lists the jobs in groups whose records a successor still needs.
+func (r *Reducer) liveJobs(groups []writtenGroup) []JobID {
+	var live []JobID
+	seen := map[JobID]bool{}
+	for _, g := range groups {
+		for _, id := range g.jobs {
+			if job := r.jobs.get(id); !seen[id] && job != nil && job.journaled {
+				live = append(live, id)
+			}
+			seen[id] = true
+		}
+	}
+	return live
+}
+
+// takeCopies returns the records of the next jobs to copy, as they are now, in at
+// most a part of the room that is left in a group.
+func (r *Reducer) takeCopies(room int) []Record {
+	j := &r.journal
+	var out []Record
+	for bytes := 0; len(j.copyQueue) > 0 && bytes < room/copyShare; {
+		if job := r.jobs.get(j.copyQueue[0]); job != nil {
+			for _, rec := range r.recordsOf(job) {
+				rec.Copy = true
+				bytes += rec.size()
+				out = append(out, rec)
+			}
+		}
+		j.copyQueue = j.copyQueue[1:]
+		j.copiedBy = j.sequence + 1
+	}
+	return out
+}
+
+// recordsOf is what a successor needs to know about a job.
+func (r *Reducer) recordsOf(j *job) []Record {
+	spec := j.spec
+	first := Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec}
+	if j.movedTo != "" {
+		first = j.movedRecord(r.now)
+	}
+	if j.state.Final() {
+		// Repeated submits are compared by digest.
+		spec.Payload = nil
+		return []Record{first, j.finishedRecord()}
+	}
+	out := []Record{first}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if !j.kind.Idempotent && t.holdsCapacity() {
+			out = append(out, r.assignedRecord(j, t))
+		}
+	}
+	return out
+}
+
+// deleteCleaned deletes the groups whose live records have been copied.
+func (r *Reducer) deleteCleaned() {
+	var keys []string
+	for _, g := range r.journal.cleaning {
+		keys = append(keys, r.journalKey(g.sequence))
+	}
+	r.journal.cleaning = nil
+	if len(keys) > 0 {
+		r.emit(DeleteValues{Op: r.op(PurposeJournalDelete, keys[0]), Keys: keys})
+	}
+}
--- a/core/feasible.go
+++ b/core/feasible.go
@@ -1,18 +1,15 @@
 package core
 
-const (
-	// candidates is how many workers with room are ranked for one task. More
-	// give little better packing for their cost.
-	candidates = 8
-	// searchBudget bounds the index nodes visited for one task, so that a
-	// decision costs about the same in a large cell as in a small one.
-	searchBudget = 400
-)
+// candidates is how many workers with room are ranked for one task. More give
+// little better packing for their cost.
+const candidates = 8
 
 // constraint restricts the workers that a task may be placed on.
 type constraint struct {
 	need Resources
-	job  JobID
+	// job and queue may use the workers that are reserved for them.
+	job   JobID
+	queue JobID
 	// avoid lists workers on which the task has failed.
 	avoid []WorkerID
 	// accept, if set, is a further filter.
@@ -21,16 +18,10 @@
 	endsBy Time
 }
 
-// feasible collects up to candidates workers that satisfy c, starting the search
-// at worker slot from.
-func (f *fleet) feasible(c *constraint, from int, found []*worker) []*worker {
-	budget := searchBudget
-	for at := from; len(found) < candidates && budget > 0; {
-		i := f.index.next(at, c.need, &budget)
-		if i < 0 {
-			break
-		}
-		at = i + 1
+// feasible collects up to candidates workers that satisfy c, in slot order.
+func (f *fleet) feasible(c *constraint, found []*worker) []*worker {
+	room := f.index.find(c.need)
+	for i := room.next(0); i >= 0 && len(found) < candidates; i = room.next(i + 1) {
 		if w := f.workers[i]; c.allows(w) {
 			found = append(found, w)
 		}
@@ -38,11 +29,13 @@
 	return found
 }
 
+// owns reports whether w is reserved for the job.
+func (c *constraint) owns(w *worker) bool {
+	return w.reservedBy == c.job || (c.queue != "" && w.reservedBy == c.queue)
+}
+
 // allows applies the filters that the index does not cover.
 func (c *constraint) allows(w *worker) bool {
-	if w.reservedBy != "" && w.reservedBy != c.job && c.endsBy >= w.roomAt {
-		return false
-	}
 	for _, id := range c.avoid {
 		if id == w.id {
 			return false
@@ -70,7 +63,7 @@
 			counts[3].Workers++
 		case !c.need.Fits(w.free()):
 			counts[4].Workers++
-		case w.reservedBy != "" && w.reservedBy != c.job:
+		case w.reservedBy != "" && !c.owns(w):
 			counts[5].Workers++
 		case !c.allows(w):
 			counts[6].Workers++
--- a/core/job.go
+++ b/core/job.go
@@ -32,6 +32,8 @@
 	JobRunning
 	// JobSettling waits to learn from a worker whether it ran.
 	JobSettling
+	// JobMoved is left to another data centre, which knows its state.
+	JobMoved
 	// JobSucceeded has run with success.
 	JobSucceeded
 	// JobFailed has ended without success; the refusal says why.
@@ -43,7 +45,7 @@
 )
 
 var jobStateNames = [...]string{
-	"accepting", "queued", "starting", "running", "settling",
+	"accepting", "queued", "starting", "running", "settling", "moved",
 	"succeeded", "failed", "cancelled", "refused",
 }
 
@@ -107,6 +109,8 @@
 	resend    Time
 	started   Time
 	throttled bool
+	// preemptible is set while the task counts in fleet.preemptible.
+	preemptible bool
 	// unthrottling is set until the worker confirms the end of throttling.
 	unthrottling bool
 	stopping     bool
@@ -153,8 +157,21 @@
 	failures   int
 	// rack is that of a replica's worker.
 	rack string
-	// journaled is set once the accept record is in the journal.
+	// journaled is set once the accept record, or that of the move, is in the
+	// journal.
 	journaled bool
+	// accept is the open accept record, or that of the move. It is nil once
+	// the record is durable or dropped.
+	accept *openRecord
+	// accepting is set while the job is counted in jobTable.accepting.
+	accepting bool
+	// movedTo is the data centre that the job goes to, or empty.
+	movedTo DataCentre
+	// movedUntil is when a moved job is forgotten.
+	movedUntil Time
+	// copiesSent counts the requests about a moved job that may have reached
+	// its data centre.
+	copiesSent int
 }
 
 // ref returns the reference of the current attempt of t.
--- a/core/jobtable.go
+++ b/core/jobtable.go
@@ -24,6 +24,10 @@
 	waiting map[RequestID]JobID
 	// services holds the replicas of long-running services.
 	services map[serviceKey][]*job
+	// accepting counts the jobs of each kind whose accept record is not durable.
+	accepting map[queueKey]int
+	// recordBytes estimates what the records of all jobs take in the journal.
+	recordBytes int
 	// unfinished counts jobs that are not final.
 	unfinished int
 }
@@ -31,7 +35,7 @@
 func newJobTable() jobTable {
 	return jobTable{
 		byID: map[JobID]*job{}, waiting: map[RequestID]JobID{},
-		services: map[serviceKey][]*job{},
+		services: map[serviceKey][]*job{}, accepting: map[queueKey]int{},
 	}
 }
 
@@ -42,6 +46,25 @@
 	t.unfinished++
 }
 
+// beginAccepting counts a submitted job as one whose record is not durable.
+func (t *jobTable) beginAccepting(j *job, accept *openRecord) {
+	j.accept, j.accepting = accept, true
+	t.accepting[queueKey{j.spec.Team, j.spec.Kind}]++
+}
+
+// endAccepting ends what beginAccepting began, once the record is durable or
+// dropped.
+func (t *jobTable) endAccepting(j *job) {
+	if !j.accepting {
+		return
+	}
+	j.accept, j.accepting = nil, false
+	key := queueKey{j.spec.Team, j.spec.Kind}
+	if t.accepting[key]--; t.accepting[key] == 0 {
+		delete(t.accepting, key)
+	}
+}
+
 // schedule sets the next time at which the job needs a look.
 func (t *jobTable) schedule(j *job) {
 	switch {
@@ -56,7 +79,27 @@
 }
 
 // forget removes a finished job.
-func (t *jobTable) forget(j *job) { delete(t.byID, j.spec.ID) }
+func (t *jobTable) forget(j *job) {
+	delete(t.byID, j.spec.ID)
+	if j.journaled {
+		t.recordBytes -= j.recordBytes()
+	}
+}
+
+// noteJournaled notes that the job's first record is in the journal.
+func (t *jobTable) noteJournaled(j *job) {
+	if !j.journaled {
+		j.journaled = true
+		t.recordBytes += j.recordBytes()
+	}
+}
+
+// recordBytes estimates what the records of the job take in the journal. It does
+// not change while the job lives.
+func (j *job) recordBytes() int {
+	const records = 2 // accepted, and assigned or finished
+	return records*recordBytes + len(j.spec.Payload)*4/3
+}
 
 // ordered returns all jobs by id, for work that must not depend on the order of
 // a map.
@@ -122,13 +165,3 @@
 	}
 	return j
 }
-
-// recordUnsent reports whether the job's accept record waits to be sent.
-func (r *Reducer) recordUnsent(id JobID) bool {
-	for i := range r.journal.open {
-		if rec := &r.journal.open[i]; rec.Job == id && rec.Kind == RecordAccepted && !rec.Copy {
-			return true
-		}
-	}
-	return false
-}
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -89,12 +89,10 @@
 func (r *Reducer) finishRecovery() {
 	j := &r.journal
 	for _, g := range j.loaded {
-		written := writtenGroup{sequence: g.Sequence, opening: g.Opening}
 		for i := range g.Records {
 			r.replayRecord(&g.Records[i])
-			written.jobs = append(written.jobs, g.Records[i].Job)
 		}
-		j.groups = append(j.groups, written)
+		j.noteGroup(&g)
 	}
 	j.loaded = nil
 	j.sequence++
@@ -114,6 +112,10 @@
 		if j == nil && rec.Spec != nil {
 			r.restoreJob(*rec.Spec)
 		}
+	case RecordMoved:
+		if j == nil && rec.Spec != nil {
+			r.restoreMoved(rec)
+		}
 	case RecordAssigned:
 		if j != nil && rec.Task.Task < len(j.tasks) {
 			r.restoreAssignment(j, rec)
@@ -128,7 +130,7 @@
 // restoreJob brings back an accepted job whose tasks may run anywhere.
 func (r *Reducer) restoreJob(spec JobSpec) {
 	j := r.newJob(spec, r.docs.kind(spec.Team, spec.Kind))
-	j.journaled = true
+	r.jobs.noteJournaled(j)
 	// Starts of idempotent tasks are in no record, and a worker that has gone
 	// since cannot be asked.
 	j.doubtful = j.kind.Idempotent
@@ -140,7 +142,7 @@
 // restoreAssignment notes the one worker that an attempt may run on.
 func (r *Reducer) restoreAssignment(j *job, rec *Record) {
 	t := &j.tasks[rec.Task.Task]
-	if rec.Task.Attempt < t.attempt {
+	if rec.Task.Attempt < t.attempt || j.state.Final() {
 		return
 	}
 	t.attempt, t.checkpoint = rec.Task.Attempt, rec.Checkpoint
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -80,6 +80,7 @@
 
 	throttledTasks []taskKey
 	nextUnthrottle Time
+	nextRoom       Time
 
 	// held lists durable assignments that wait for a certain lease.
 	held []TaskRef
@@ -140,7 +141,7 @@
 	case StatusRequested:
 		r.onStatusRequested(b)
 	case ForwardFailed:
-		r.park(b.Request, b.Verdict, ReasonPeer)
+		r.onForwardFailed(b)
 	case RequestAbandoned:
 		r.jobs.abandon(b.Request)
 		r.parked.remove(b.Request)
@@ -201,6 +202,7 @@
 	r.tickServices()
 	r.tickGrants()
 	r.tickPreemption()
+	r.tickRoom()
 	r.tickParked()
 	r.tickDrain()
 }
