--- a/standin/workernode.go
+++ b/standin/workernode.go
@@ -24,6 +24,10 @@
 // maxWorkerBody bounds a request to a worker.
 const maxWorkerBody = 8 << 20
 
+// maxPadBytes bounds the padding of an answer. It exceeds what entry hosts accept,
+// so that an answer can be too long for them.
+const maxPadBytes = 16 << 20
+
 // workerNode serves one worker on a port of its own.
 type workerNode struct {
 	node[worker.Event, worker.Effect, worker.Answer]
@@ -235,7 +239,7 @@
 func (n *workerNode) writeCall(w http.ResponseWriter, result worker.CallResult, truncate bool) {
 	body, err := json.Marshal(CallBody{
 		RequestID: result.RequestID, Attempt: result.Attempt, Worker: n.listed.ID,
-		Failed: result.Failed, Result: result.Result, Padding: strings.Repeat("x", max(0, result.PadBytes)),
+		Failed: result.Failed, Result: result.Result, Padding: strings.Repeat("x", min(max(0, result.PadBytes), maxPadBytes)),
 	})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- /dev/null
+++ b/wire/fuzz_test.go
@@ -0,0 +1,230 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"reflect"
+	"testing"
+
+	"banyanrun.example/banyanrun/core"
+)
+
+// values lists one value of each type that the store holds.
+var values = []core.Value{core.OwnerRecord{}, core.LeaseRecord{}, core.JournalGroup{}, core.DocumentRecord{}}
+
+// filled returns a value of a type in which no field is zero.
+func filled(t reflect.Type) reflect.Value {
+	v := reflect.New(t).Elem()
+	switch t.Kind() {
+	case reflect.Struct:
+		for i := range t.NumField() {
+			v.Field(i).Set(filled(t.Field(i).Type))
+		}
+	case reflect.Array:
+		for i := range t.Len() {
+			v.Index(i).Set(filled(t.Elem()))
+		}
+	case reflect.Pointer:
+		v.Set(reflect.New(t.Elem()))
+		v.Elem().Set(filled(t.Elem()))
+	case reflect.Slice:
+		v.Set(reflect.MakeSlice(t, 2, 2))
+		for i := range 2 {
+			v.Index(i).Set(filled(t.Elem()))
+		}
+	case reflect.Interface:
+		// core.Value is the only interface among the fields of events.
+		v.Set(filled(reflect.TypeFor[core.JournalGroup]()))
+	case reflect.String:
+		v.SetString("näme")
+	case reflect.Bool:
+		v.SetBool(true)
+	case reflect.Float64:
+		v.SetFloat(1.5)
+	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
+		v.SetInt(1)
+	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+		v.SetUint(1)
+	default:
+		panic(fmt.Sprintf("type %s has a kind that no value may have", t))
+	}
+	return v
+}
+
+// sealed encloses data in an envelope with a right checksum.
+func sealed(version int, kind, data string) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"type":%q,"crc32c":%d,"data":%s}`,
+		version, kind, crc32.Checksum([]byte(data), castagnoli), data)
+}
+
+// Guards against a field of a stored value that is lost or changed on its way
+// through the store.
+func TestEveryFieldOfAStoredValueSurvives(t *testing.T) {
+	for _, zero := range values {
+		want := filled(reflect.TypeOf(zero)).Interface().(core.Value)
+		t.Run(fmt.Sprintf("%T", want), func(t *testing.T) {
+			raw, err := EncodeValue(want)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := DecodeValue(raw); err != nil || !reflect.DeepEqual(got, want) {
+				t.Errorf("got %+v, %v; want %+v", got, err, want)
+			}
+		})
+	}
+}
+
+// Guards against a value that a host takes for its own although it is damaged or
+// was written by a later version.
+func TestUnreadableValuesAreRefused(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		raw  []byte
+	}{
+		{"a later version", sealed(valueVersion+1, "lease", `{}`)},
+		{"no version", []byte(`{"type":"lease","crc32c":0,"data":{}}`)},
+		{"a wrong checksum", []byte(`{"version":1,"type":"lease","crc32c":1,"data":{}}`)},
+		{"an unknown type", sealed(valueVersion, "leases", `{}`)},
+		{"content of another type", sealed(valueVersion, "lease", `[]`)},
+		{"a field of another type", sealed(valueVersion, "owner", `{"Epoch":-1}`)},
+		{"no content", sealed(valueVersion, "owner", `null`)},
+		{"half a value", []byte(`{"version":1,"type":"le`)},
+		{"nothing", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if v, err := DecodeValue(c.raw); !errors.Is(err, ErrUnreadable) {
+				t.Errorf("got %+v, %v; want ErrUnreadable", v, err)
+			}
+		})
+	}
+}
+
+// checkDecoded demands that bytes are either refused as unreadable, or give a
+// value that survives another round.
+func checkDecoded(t *testing.T, raw []byte) {
+	v, err := DecodeValue(raw)
+	if err != nil {
+		if !errors.Is(err, ErrUnreadable) {
+			t.Fatalf("error %v does not wrap ErrUnreadable", err)
+		}
+		return
+	}
+	first, err := EncodeValue(v)
+	if err != nil {
+		t.Fatalf("encode %+v: %v", v, err)
+	}
+	again, err := DecodeValue(first)
+	if err != nil {
+		t.Fatalf("decode %s: %v", first, err)
+	}
+	if second, err := EncodeValue(again); err != nil || !bytes.Equal(first, second) {
+		t.Fatalf("second round gave %s, %v; want %s", second, err, first)
+	}
+}
+
+// Guards against bytes in the store that stop a host.
+func FuzzDecodeValue(f *testing.F) {
+	for _, zero := range values {
+		raw, err := EncodeValue(filled(reflect.TypeOf(zero)).Interface().(core.Value))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+		f.Add(bytes.Replace(raw, []byte(`"version":1`), []byte(`"version":2`), 1))
+	}
+	f.Fuzz(checkDecoded)
+}
+
+// Guards against the same behind a right checksum, which a fuzzer does not find.
+func FuzzDecodeValueContent(f *testing.F) {
+	for _, zero := range values {
+		name, err := valueType(zero)
+		if err != nil {
+			f.Fatal(err)
+		}
+		data, err := json.Marshal(filled(reflect.TypeOf(zero)).Interface())
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(name, string(data))
+	}
+	f.Fuzz(func(t *testing.T, kind, data string) { checkDecoded(t, sealed(valueVersion, kind, data)) })
+}
+
+// recordedTypes lists every event type of recordings.
+func recordedTypes() []reflect.Type {
+	types := []reflect.Type{reflect.TypeFor[core.StoreAnswered]()}
+	for _, t := range eventTypes {
+		types = append(types, t)
+	}
+	return types
+}
+
+// Guards against an event that a replay sees otherwise than the recorded run.
+func TestEveryFieldOfARecordedEventSurvives(t *testing.T) {
+	for _, kind := range recordedTypes() {
+		t.Run(kind.Name(), func(t *testing.T) {
+			want := core.Event{At: 7, Body: filled(kind).Interface().(core.EventBody)}
+			line, err := EncodeStep(want, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var step RecordedStep
+			if err := json.Unmarshal(line, &step); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := step.DecodeEvent(); err != nil || !reflect.DeepEqual(got, want) {
+				t.Errorf("got %+v, %v; want %+v", got, err, want)
+			}
+		})
+	}
+}
+
+// Guards against a recording that stops the replay tool.
+func FuzzDecodeEvent(f *testing.F) {
+	for _, kind := range recordedTypes() {
+		line, err := EncodeStep(core.Event{At: 7, Body: filled(kind).Interface().(core.EventBody)}, nil)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, line []byte) {
+		first, ok := stepAgain(t, line, false)
+		if !ok {
+			return
+		}
+		if second, _ := stepAgain(t, first, true); !bytes.Equal(first, second) {
+			t.Fatalf("second round gave %s, want %s", second, first)
+		}
+	})
+}
+
+// stepAgain decodes a step and encodes its event again. Only a step that must be
+// readable fails the test if it is not.
+func stepAgain(t *testing.T, line []byte, must bool) ([]byte, bool) {
+	t.Helper()
+	var step RecordedStep
+	err := json.Unmarshal(line, &step)
+	if err != nil {
+		if must {
+			t.Fatalf("decode %s: %v", line, err)
+		}
+		return nil, false
+	}
+	event, err := step.DecodeEvent()
+	if err != nil {
+		if must {
+			t.Fatalf("decode event of %s: %v", line, err)
+		}
+		return nil, false
+	}
+	out, err := EncodeStep(event, nil)
+	if err != nil {
+		t.Fatalf("encode %+v: %v", event, err)
+	}
+	return out, true
+}
--- a/wire/value.go
+++ b/wire/value.go
@@ -68,8 +68,11 @@
 	return nil, fmt.Errorf("%w: type %q", ErrUnreadable, e.Type)
 }
 
-// decodeAs decodes one type of value.
+// decodeAs decodes one type of value. JSON null would give a record of zeros.
 func decodeAs[T core.Value](data []byte) (core.Value, error) {
+	if string(data) == "null" {
+		return nil, fmt.Errorf("%w: no content", ErrUnreadable)
+	}
 	var v T
 	if err := json.Unmarshal(data, &v); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnreadable, err)
