Let a follower read the lease soon after its owner has died

While a follower hears the owner it reads the lease about every 15 s. When the owner died, it kept to the read planned before, up to 22 s later, so a takeover missed its bound of lease + 5 s. The integration test over TLS saw a takeover 16 s after the kill with a lease of 2 s. The read is planned anew when the owner has been silent for 3 s. The test of the reducer fails without the change (last read 1.3 s and 1.9 s after the last heartbeat and none after).

--- a/core/ownership.go
+++ b/core/ownership.go
@@ -139,6 +139,11 @@
 		r.becomeStandbyOwner()
 		return
 	}
+	if silent >= ownerSilence && o.nextPoll.Sub(r.now) > 2*leasePoll {
+		// The next read was planned while the owner was heard. Waiting for it
+		// delayed a takeover by up to 22 s.
+		o.nextPoll = r.now.Add(r.jitter(leasePoll / 2))
+	}
 	if r.now < o.nextPoll {
 		return
 	}
