Test the peers' messages over mutual TLS with real processes

All other integration tests run without keys, so a host that could not reach its peers over TLS would have passed. Two hosts with keys exchange heartbeats, an edit, a forwarded submit, and take over after a kill.

--- /dev/null
+++ b/integration/keys_test.go
@@ -0,0 +1,357 @@
+package integration
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/json"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/integration/cluster"
+	"banyanrun.example/banyanrun/standin"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// secureTeam is the team of the certificates.
+const secureTeam = "blue"
+
+// secureHost is an entry host with keys.
+type secureHost struct {
+	id, address, log string
+	cmd              *exec.Cmd
+}
+
+// secureCluster is two entry hosts of one data centre that speak mutual TLS.
+type secureCluster struct {
+	t                *testing.T
+	standin          *standin.Server
+	hosts            [2]*secureHost
+	operator, caller *http.Client
+}
+
+// certificate is a certificate with its key.
+type certificate struct {
+	leaf *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// issue signs a certificate, by itself if by is nil.
+func issue(t *testing.T, subject pkix.Name, ip net.IP, by *certificate) *certificate {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial, Subject: subject, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(24 * time.Hour),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	signer := &certificate{template, key}
+	if by != nil {
+		signer = by
+		if ip != nil {
+			template.IPAddresses = []net.IP{ip}
+		}
+	} else {
+		template.IsCA, template.BasicConstraintsValid, template.KeyUsage, template.ExtKeyUsage = true, true, x509.KeyUsageCertSign, nil
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, signer.leaf, &key.PublicKey, signer.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &certificate{leaf, key}
+}
+
+// files writes a certificate, its key and the authority, and returns the flags
+// that name them.
+func (c *certificate) files(t *testing.T, authority *certificate) []string {
+	t.Helper()
+	der, err := x509.MarshalPKCS8PrivateKey(c.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	var args []string
+	for _, f := range []struct {
+		flag, kind string
+		data       []byte
+	}{{"ca", "CERTIFICATE", authority.leaf.Raw}, {"cert", "CERTIFICATE", c.leaf.Raw}, {"key", "PRIVATE KEY", der}} {
+		name := filepath.Join(dir, f.flag)
+		if err := os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.data}), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		args = append(args, "--"+f.flag, name)
+	}
+	return args
+}
+
+// client returns a client with a certificate.
+func (c *certificate) client(authority *certificate) *http.Client {
+	pool := x509.NewCertPool()
+	pool.AddCert(authority.leaf)
+	pair := tls.Certificate{Certificate: [][]byte{c.leaf.Raw}, PrivateKey: c.key}
+	return &http.Client{Timeout: cluster.Patience, Transport: &http.Transport{
+		DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: pool, Certificates: []tls.Certificate{pair}},
+	}}
+}
+
+// startSecure starts the stand-in and the hosts.
+func startSecure(t *testing.T) *secureCluster {
+	t.Helper()
+	t.Parallel()
+	turn <- struct{}{}
+	t.Cleanup(func() { <-turn })
+	// Outgoing connections have another address, so the ports stay free.
+	ip := fmt.Sprintf("127.%d.%d.1", 220+os.Getpid()%30, os.Getpid()/30%250)
+	authority := issue(t, pkix.Name{CommonName: "test authority"}, nil, nil)
+	person := func(name, role string) *http.Client {
+		subject := pkix.Name{CommonName: name, OrganizationalUnit: []string{role}, Organization: []string{secureTeam}}
+		return issue(t, subject, nil, authority).client(authority)
+	}
+	c := &secureCluster{t: t, operator: person("ada", "operator"), caller: person("cal", "caller")}
+	for i := range c.hosts {
+		c.hosts[i] = &secureHost{id: fmt.Sprintf("host-%d", i), address: net.JoinHostPort(ip, fmt.Sprint(7600+i))}
+	}
+	var err error
+	c.standin, err = standin.Start(standin.Config{
+		Topology: standin.Topology{DataCentres: []standin.DataCentre{{Name: "a", Region: cluster.Region, Racks: []standin.Rack{
+			{Name: "rack", Workers: []standin.WorkerGroup{{ID: "worker", Count: 2, Capacity: cluster.Capacity}}},
+		}}}},
+		Hosts: []wire.ListedHost{c.hosts[0].listed(), c.hosts[1].listed()},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.standin.Close)
+	for _, h := range c.hosts {
+		subject := pkix.Name{CommonName: h.id, OrganizationalUnit: []string{"host"}}
+		c.run(h, issue(t, subject, net.ParseIP(ip), authority).files(t, authority))
+	}
+	for _, h := range c.hosts {
+		c.until(h.id+" is ready", func() bool { return c.get(h, "/readyz", nil) == http.StatusOK })
+	}
+	return c
+}
+
+func (h *secureHost) listed() wire.ListedHost {
+	return wire.ListedHost{ID: h.id, Address: h.address, DataCentre: "a", Region: cluster.Region}
+}
+
+// run starts a host. It is killed when the test ends.
+func (c *secureCluster) run(h *secureHost, keys []string) {
+	c.t.Helper()
+	h.log = filepath.Join(c.t.TempDir(), "log")
+	log, err := os.Create(h.log)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer log.Close()
+	h.cmd = exec.Command(binary, append(keys, "--host", h.id, "--listen", h.address, "--data-centre", "a",
+		"--region", cluster.Region, "--platform", c.standin.StoreAddress(), "--owner-lease", "2s",
+		"--sync-wait", "1s", "--journal-rate", "20", "--seed", "1")...)
+	h.cmd.Stderr = log
+	if err := h.cmd.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(func() {
+		h.kill()
+		data, err := os.ReadFile(h.log)
+		if err != nil || bytes.Contains(data, []byte("DATA RACE")) || c.t.Failed() {
+			c.t.Errorf("log of %s: %s, %v", h.id, data, err)
+		}
+	})
+}
+
+// kill ends the process at once and waits for its end.
+func (h *secureHost) kill() {
+	_ = h.cmd.Process.Kill() // An error means that it has ended.
+	_ = h.cmd.Wait()         // It was killed or was waited for before.
+}
+
+// until waits for a condition.
+func (c *secureCluster) until(what string, holds func() bool) {
+	c.t.Helper()
+	for began := time.Now(); time.Since(began) < cluster.Patience; time.Sleep(50 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	c.t.Fatalf("after %s it still does not hold that %s", cluster.Patience, what)
+}
+
+// send sends a request and decodes a successful answer into out. It returns the
+// status, or 0 if there is no whole answer.
+func (c *secureCluster) send(by *http.Client, h *secureHost, method, path, body string, out any, header ...string) int {
+	req, err := http.NewRequestWithContext(context.Background(), method, "https://"+h.address+path, strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := by.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	switch {
+	case err != nil:
+		return 0
+	case resp.StatusCode >= http.StatusBadRequest:
+		c.t.Logf("%s %s at %s: %d %s", method, path, h.id, resp.StatusCode, data)
+	case out != nil:
+		if text, ok := out.(*string); ok {
+			*text = string(data)
+		} else if err := json.Unmarshal(data, out); err != nil {
+			c.t.Fatalf("%s %s: %v in %s", method, path, err, data)
+		}
+	}
+	return resp.StatusCode
+}
+
+// get reads as the operator.
+func (c *secureCluster) get(h *secureHost, path string, out any) int {
+	return c.send(c.operator, h, http.MethodGet, path, "", out)
+}
+
+// owner waits until one of the hosts owns the data centre.
+func (c *secureCluster) owner(among ...*secureHost) *secureHost {
+	c.t.Helper()
+	var found *secureHost
+	c.until("a host owns the data centre", func() bool {
+		for _, h := range among {
+			var view wire.HostsView
+			if c.get(h, wire.PathHostsView, &view) != http.StatusOK {
+				continue
+			}
+			for _, v := range view.Hosts {
+				if string(v.ID) == h.id && v.Owner {
+					found = h
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// sent reports whether a peer has accepted a message of a host on a path.
+func (c *secureCluster) sent(h *secureHost, path string) bool {
+	var text string
+	c.get(h, "/metrics", &text)
+	return strings.Contains(text, `banyanrun_peer_messages_total{path="`+path+`",result="ok"}`)
+}
+
+// finished waits until a job has succeeded in the view of a host.
+func (c *secureCluster) finished(h *secureHost, id string) {
+	c.t.Helper()
+	c.until(id+" has succeeded at "+h.id, func() bool {
+		var s wire.JobStatus
+		status := c.send(c.caller, h, http.MethodGet, wire.PathJobs+"/"+id, "", &s)
+		return status == http.StatusOK && s.State == core.JobSucceeded
+	})
+}
+
+// submit submits a job for a time until it is accepted.
+func (c *secureCluster) submit(h *secureHost, id string, run time.Duration) {
+	c.t.Helper()
+	body, err := json.Marshal(wire.JobRequest{
+		ID: core.JobID(id), Team: secureTeam, Kind: cluster.Billed, Payload: cluster.Program(id, run),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.until(id+" is accepted at "+h.id, func() bool {
+		return c.send(c.caller, h, http.MethodPost, wire.PathJobs, string(body), nil) == http.StatusAccepted
+	})
+}
+
+// Guards against hosts that cannot reach each other once they have keys:
+// heartbeats, documents, forwarded requests and takeovers all use the peers'
+// mutual TLS.
+func TestPeersWorkTogetherOverMutualTLS(t *testing.T) {
+	c := startSecure(t)
+	owner := c.owner(c.hosts[:]...)
+	other := c.hosts[0]
+	if owner == other {
+		other = c.hosts[1]
+	}
+	for _, h := range c.hosts {
+		c.until(h.id+" has heard the other host", func() bool {
+			var view wire.HostsView
+			heard := 0
+			if c.get(h, wire.PathHostsView, &view) == http.StatusOK {
+				for _, v := range view.Hosts {
+					if v.HeartbeatAgeMS >= 0 {
+						heard++
+					}
+				}
+			}
+			return heard == len(c.hosts) && c.sent(h, "/peer/v1/heartbeat")
+		})
+	}
+	var version wire.DocumentVersion
+	edit := func() int {
+		return c.send(c.operator, other, http.MethodPut, wire.PathDocuments+"/"+secureTeam, cluster.Document(1), &version, wire.HeaderIfMatch, "0")
+	}
+	if status := edit(); status != http.StatusOK {
+		t.Fatalf("edit: status %d", status)
+	}
+	c.until("the edit is in force at the owner, to which it was sent", func() bool {
+		var now wire.DocumentVersion
+		return c.get(owner, wire.PathDocuments+"/"+secureTeam, &now) == http.StatusOK &&
+			now.Revision == version.Revision && c.sent(other, "/peer/v1/documents")
+	})
+	c.submit(other, "first", 0)
+	c.finished(owner, "first")
+	c.submit(other, "running", 5*time.Second)
+	owner.kill()
+	c.owner(other)
+	c.submit(other, "after", 0)
+	for _, id := range []string{"after", "running", "first"} {
+		c.finished(other, id)
+	}
+	ledger, err := c.standin.Ledger(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	starts := map[string]int{}
+	for _, w := range ledger.Workers {
+		for _, e := range w.Entries {
+			starts[e.Job]++
+		}
+	}
+	for _, id := range []string{"first", "running", "after"} {
+		if starts[id] != 1 {
+			t.Errorf("job %s was started %d times, want once", id, starts[id])
+		}
+	}
+}
