Give peers an address of their own and bound writes to slow readers

With keys its handshake accepts hosts only, without keys it refuses what no host sends. The default stays the callers' address. A write that a client does not take in within 30 s now ends its connection; before, it held a request in progress for good.

--- a/embedded/embedded.go
+++ b/embedded/embedded.go
@@ -31,7 +31,7 @@
 	if set.DataCentre == "" {
 		set.DataCentre = defaultDataCentre
 	}
-	if !set.Files().Given() && isLoopback(set.Listen) {
+	if !set.Files().Given() && isLoopback(set.Listen) && (set.PeerListen == "" || isLoopback(set.PeerListen)) {
 		set.Insecure = true
 	}
 	server, err := standin.Start(standin.Config{
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -71,6 +71,9 @@
 	stopOnce atomic.Bool
 	listener net.Listener
 	server   *http.Server
+	// peerListener is nil if peers use the callers' address.
+	peerListener net.Listener
+	peerServer   *http.Server
 }
 
 // New returns a daemon that listens but does not run yet.
@@ -86,6 +89,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", set.Listen, err)
 	}
+	peerListener, err := listenPeers(set)
+	if err != nil {
+		listener.Close()
+		return nil, err
+	}
 	started := time.Now()
 	client := platform.New(platform.Config{Address: set.Platform, CallTimeout: set.StoreTimeout})
 	d := &Daemon{
@@ -95,7 +103,7 @@
 		}),
 		peers: newPeerClient(store), open: newPending(), metrics: metrics.NewSet(),
 		slots: make(chan struct{}, set.MaxRequests), stopped: make(chan struct{}),
-		listener: listener, keys: store,
+		listener: listener, peerListener: peerListener, keys: store,
 	}
 	cfg := set.config(started)
 	d.reducer = core.New(cfg)
@@ -109,11 +117,8 @@
 		Tick:   func() core.Event { return core.Event{At: d.clock.now(), Body: core.Tick{}} },
 		Period: core.TickPeriod, Mailbox: mailbox, Observe: d.observe,
 	})
-	d.server = &http.Server{
-		Handler: d.closeStale(d.routes()), MaxHeaderBytes: hardHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
-		ConnContext: d.connContext, ErrorLog: d.listenerLog(),
-	}
+	routes := d.routes()
+	d.server, d.peerServer = d.newServer(routes), d.newServer(peersOnly(routes))
 	return d, nil
 }
 
@@ -129,12 +134,8 @@
 	parts.Go(func() { d.loop.Run(running) })
 	parts.Go(func() { d.reportCalls(running) })
 	parts.Go(func() { d.watchKeys(running) })
-	failed := make(chan error, 1)
-	parts.Go(func() {
-		if err := d.server.Serve(d.accepting()); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	})
+	failed := make(chan error, 2)
+	d.serve(&parts, failed)
 	d.log.Info().Str("address", d.Address()).Str("host", d.set.Host).
 		Str("data_centre", d.set.DataCentre).Msg("serving")
 	var err error
@@ -163,7 +164,7 @@
 	// Once the listener is closed, no grants of the next owner arrive.
 	for d.grants.Waiting() > 0 && sleep(limit, drainPoll) {
 	}
-	if err := d.server.Shutdown(limit); err != nil {
+	if err := errors.Join(d.server.Shutdown(limit), d.peerServer.Shutdown(limit)); err != nil {
 		d.log.Warn().Err(err).Msg("requests were still in progress at the end of the drain timeout")
 	}
 	d.log.Info().Msg("drained")
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -18,12 +18,17 @@
 	"banyanrun.example/banyanrun/keys"
 )
 
+// writeTimeout bounds one write to a connection. A reader that takes in nothing
+// for so long holds memory and a place among the requests in progress.
+const writeTimeout = 30 * time.Second
+
 // boundedListener closes accepted connections beyond a limit at once, so that
 // their clients turn to another host.
 type boundedListener struct {
 	net.Listener
-	slots   chan struct{}
-	refused *metrics.Counter
+	slots        chan struct{}
+	refused      *metrics.Counter
+	writeTimeout time.Duration
 }
 
 // Accept implements net.Listener.
@@ -35,7 +40,9 @@
 		}
 		select {
 		case l.slots <- struct{}{}:
-			return &boundedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.slots })}, nil
+			return &boundedConn{
+				Conn: conn, writeTimeout: l.writeTimeout, release: sync.OnceFunc(func() { <-l.slots }),
+			}, nil
 		default:
 			l.refused.Inc()
 			_ = conn.Close() // Nothing was sent on it.
@@ -43,10 +50,19 @@
 	}
 }
 
-// boundedConn frees its place when it is closed.
+// boundedConn frees its place when it is closed, and bounds its writes.
 type boundedConn struct {
 	net.Conn
-	release func()
+	writeTimeout time.Duration
+	release      func()
+}
+
+// Write implements net.Conn.
+func (c *boundedConn) Write(data []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
 }
 
 // Close implements net.Conn.
@@ -55,17 +71,17 @@
 	return c.Conn.Close()
 }
 
-// accepting returns the listener with its limit, and with TLS unless insecure.
-func (d *Daemon) accepting() net.Listener {
+// accepting returns a listener with a limit, and with TLS unless insecure. The
+// metric counts the connections beyond the limit.
+func (d *Daemon) accepting(l net.Listener, limit int, metric string, config func(*keys.Store) *tls.Config) net.Listener {
 	bounded := &boundedListener{
-		Listener: d.listener, slots: make(chan struct{}, d.set.MaxConnections),
-		refused: d.metrics.GetOrCreateCounter("banyanrun_connections_refused_total"),
+		Listener: l, slots: make(chan struct{}, limit), writeTimeout: writeTimeout,
+		refused: d.metrics.GetOrCreateCounter(metric),
 	}
 	if d.keys == nil {
-		d.log.Warn().Msg("insecure by its settings: without TLS, everybody may do everything")
 		return bounded
 	}
-	return tls.NewListener(bounded, d.keys.Server())
+	return tls.NewListener(bounded, config(d.keys))
 }
 
 // loadKeys loads the certificate of the settings, or nothing if insecure.
--- /dev/null
+++ b/entry/peerlisten_test.go
@@ -0,0 +1,69 @@
+package entry_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/wire"
+)
+
+// freeAddress returns a loopback address that is free now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against callers that keep peers out by using up the connections, which
+// would cost the data centre its owner, and against callers at the peers'
+// address, who could use up that one.
+func TestPeersGetInWhileCallersHoldEveryConnection(t *testing.T) {
+	ca, dir := newAuthority(t), t.TempDir()
+	ca.write(t, dir, ca.issue(t, "entry-1", "host", valid))
+	host, caller := ca.client(ca.issue(t, "entry-2", "host", valid)), ca.client(ca.issue(t, "cal", "caller", valid, "alpha"))
+	for _, c := range []struct {
+		name, scheme string
+		args         []string
+		peer, caller *http.Client
+		// reason is empty if the caller's handshake must fail.
+		reason core.Reason
+	}{
+		{"without keys", "http://", nil, &http.Client{}, &http.Client{}, core.ReasonForbidden},
+		{"with keys", "https://", []string{"--cert=" + dir + "/cert", "--key=" + dir + "/key", "--ca=" + dir + "/ca"}, host, caller, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			peers := freeAddress(t)
+			callers := start(t, append(c.args, "--max-connections=1", "--peer-listen="+peers)...)
+			held, err := net.Dial("tcp", callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer held.Close()
+			further, err := net.Dial("tcp", callers)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer further.Close()
+			// The read ends only because the daemon closes the connection.
+			if n, err := further.Read(make([]byte, 1)); err == nil {
+				t.Fatalf("read %d bytes, want a closed connection", n)
+			}
+			for range 4 {
+				r, err := request(t, c.peer, "POST", c.scheme+peers+"/peer/v1/heartbeat", `{"From":"entry-2","Address":"127.0.0.1:1"}`)
+				if err != nil || r.status != http.StatusNoContent {
+					t.Fatalf("heartbeat got %+v, %v", r, err)
+				}
+			}
+			r, err := request(t, c.caller, "GET", c.scheme+peers+wire.PathTeams, "")
+			if (err != nil) != (c.reason == "") || r.reason != string(c.reason) {
+				t.Errorf("a caller at the peers' address got %+v, %v; want reason %q", r, err, c.reason)
+			}
+		})
+	}
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -23,7 +23,8 @@
 type Settings struct {
 	Host       string `long:"host" env:"BANYANRUN_HOST" description:"name of this entry host, unique among all entry hosts"`
 	Listen     string `long:"listen" env:"BANYANRUN_LISTEN" default:"127.0.0.1:7600" description:"ip:port of the callers', operators' and peers' API"`
-	Advertise  string `long:"advertise" env:"BANYANRUN_ADVERTISE" description:"ip:port at which peers reach this host; the listen address if empty"`
+	PeerListen string `long:"peer-listen" env:"BANYANRUN_PEER_LISTEN" description:"ip:port for peers alone, whose connections do not count towards --max-connections; the listen address if empty"`
+	Advertise  string `long:"advertise" env:"BANYANRUN_ADVERTISE" description:"ip:port at which peers reach this host; the peer listen address if empty"`
 	DataCentre string `long:"data-centre" env:"BANYANRUN_DATA_CENTRE" description:"data centre of this host"`
 	Region     string `long:"region" env:"BANYANRUN_REGION" description:"region of this host; the data centre if empty"`
 	Platform   string `long:"platform" env:"BANYANRUN_PLATFORM" description:"ip:port of the platform's store and host list"`
@@ -65,8 +66,11 @@
 
 // Check fills in derived settings and returns the first that is not allowed.
 func (s *Settings) Check() error {
+	if s.PeerListen == "" {
+		s.PeerListen = s.Listen
+	}
 	if s.Advertise == "" {
-		s.Advertise = s.Listen
+		s.Advertise = s.PeerListen
 	}
 	if s.Region == "" {
 		s.Region = s.DataCentre
@@ -79,7 +83,7 @@
 		}
 	}
 	for _, a := range []struct{ setting, value string }{
-		{"listen", s.Listen}, {"advertise", s.Advertise}, {"platform", s.Platform},
+		{"listen", s.Listen}, {"peer-listen", s.PeerListen}, {"advertise", s.Advertise}, {"platform", s.Platform},
 	} {
 		host, _, err := net.SplitHostPort(a.value)
 		if err != nil || net.ParseIP(host) == nil {
--- a/keys/tls.go
+++ b/keys/tls.go
@@ -18,7 +18,15 @@
 
 // Server returns the configuration of a listener. Each handshake uses the pair
 // in use at that time and requires a verified certificate of the client.
-func (s *Store) Server() *tls.Config {
+func (s *Store) Server() *tls.Config { return s.server(nil) }
+
+// PeerServer returns the configuration of a listener for entry hosts alone. The
+// client's certificate must have the role of a host.
+func (s *Store) PeerServer() *tls.Config { return s.server(verifyHost) }
+
+// server returns the configuration of a listener with a further check of the
+// client, or nil.
+func (s *Store) server(verify func(tls.ConnectionState) error) *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
@@ -31,6 +39,7 @@
 				// A resumed session would keep authorities that were
 				// removed from the bundle.
 				SessionTicketsDisabled: true,
+				VerifyConnection:       verify,
 			}, nil
 		},
 	}
@@ -42,20 +51,23 @@
 func (s *Store) Client() *tls.Config {
 	p := s.current.Load()
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{p.cert},
-		RootCAs:      p.pool,
-		VerifyConnection: func(state tls.ConnectionState) error {
-			id, err := IdentityOf(state.PeerCertificates[0], time.Now())
-			if err != nil {
-				return err
-			}
-			if id.Role != core.RoleHost {
-				return fmt.Errorf("server's certificate has role %q, not %q", id.Role, core.RoleHost)
-			}
-			return nil
-		},
+		MinVersion:       tls.VersionTLS13,
+		Certificates:     []tls.Certificate{p.cert},
+		RootCAs:          p.pool,
+		VerifyConnection: verifyHost,
+	}
+}
+
+// verifyHost demands that the other side is an entry host.
+func verifyHost(state tls.ConnectionState) error {
+	id, err := IdentityOf(state.PeerCertificates[0], time.Now())
+	if err != nil {
+		return err
+	}
+	if id.Role != core.RoleHost {
+		return fmt.Errorf("certificate of the other side has role %q, not %q", id.Role, core.RoleHost)
 	}
+	return nil
 }
 
 // Dialer returns a function that dials with the pair in use at that time. The
