Set gauges for queue age, free capacity, epoch and document revision

Operators could see these figures only by asking banyanctl, so no alert could use them. The reducer emits Gauge effects once a second when a value has changed, with one pass over the teams and one over the queues that are not empty; the daemon sets the gauges.

--- a/core/effect.go
+++ b/core/effect.go
@@ -158,6 +158,15 @@
 		Kind   KindName
 		Add    int
 	}
+	// Gauge sets a gauge. It is emitted when the value has changed.
+	Gauge struct {
+		Metric Metric
+		Team   TeamName
+		Kind   KindName
+		// Resource names a dimension of Resources, or is empty.
+		Resource string
+		Value    float64
+	}
 	// Log writes one log line.
 	Log struct {
 		Level   LogLevel
@@ -221,6 +230,14 @@
 	MetricForwarded   Metric = "banyanrun_forwarded_total"
 )
 
+// The gauge families that the reducer sets.
+const (
+	MetricQueueAge         Metric = "banyanrun_queue_oldest_seconds"
+	MetricFree             Metric = "banyanrun_free_capacity"
+	MetricEpoch            Metric = "banyanrun_owner_epoch"
+	MetricDocumentRevision Metric = "banyanrun_document_revision"
+)
+
 // LogLevel is the severity of a log line.
 type LogLevel uint8
 
@@ -251,6 +268,7 @@
 func (SendSummary) effect()   {}
 func (SendDocuments) effect() {}
 func (Count) effect()         {}
+func (Gauge) effect()         {}
 func (Log) effect()           {}
 func (Ready) effect()         {}
 func (Stopped) effect()       {}
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -77,6 +77,7 @@
 	kinds   estimates
 	reserve reservations
 	parked  parkedRequests
+	gauges  gauges
 
 	throttledTasks []taskKey
 	nextUnthrottle Time
@@ -113,6 +114,7 @@
 		retries: newRetryBudgets(),
 		kinds:   newEstimates(),
 		reserve: newReservations(),
+		gauges:  newGauges(),
 	}
 }
 
@@ -203,6 +205,7 @@
 	r.tickPreemption()
 	r.tickParked()
 	r.tickDrain()
+	r.tickGauges()
 }
 
 // emit adds an effect to the result of the current step.
--- a/core/resources.go
+++ b/core/resources.go
@@ -14,6 +14,9 @@
 // dimensions is the number of fields of Resources.
 const dimensions = 5
 
+// dimensionNames names the fields in the order of vector.
+var dimensionNames = [dimensions]string{"milli_cpu", "memory_mb", "accelerators", "slots", "connections"}
+
 // vector returns the fields as an array, in declaration order.
 func (r Resources) vector() [dimensions]int64 {
 	return [dimensions]int64{r.MilliCPU, r.MemoryMB, r.Accelerators, r.Slots, r.Connections}
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -26,6 +26,8 @@
 		d.grants.Set(f)
 	case core.Count:
 		d.count(f)
+	case core.Gauge:
+		d.gauge(f)
 	case core.Log:
 		d.logLine(f)
 	case core.Ready:
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -17,24 +18,31 @@
 
 // count adds to a counter of the reducer.
 func (d *Daemon) count(c core.Count) {
-	labels := ""
-	add := func(name, value string) {
-		if value == "" {
-			return
-		}
-		if labels != "" {
-			labels += ","
+	d.metrics.GetOrCreateCounter(series(c.Metric,
+		label{"reason", string(c.Reason)}, label{"team", string(c.Team)}, label{"kind", string(c.Kind)})).Add(c.Add)
+}
+
+// gauge sets a gauge of the reducer.
+func (d *Daemon) gauge(g core.Gauge) {
+	d.metrics.GetOrCreateGauge(series(g.Metric,
+		label{"team", string(g.Team)}, label{"kind", string(g.Kind)}, label{"resource", g.Resource}), nil).Set(g.Value)
+}
+
+// label is one label of a series.
+type label struct{ name, value string }
+
+// series returns the name of a series. Labels without a value are left out.
+func series(metric core.Metric, labels ...label) string {
+	var parts []string
+	for _, l := range labels {
+		if l.value != "" {
+			parts = append(parts, fmt.Sprintf("%s=%q", l.name, l.value))
 		}
-		labels += fmt.Sprintf("%s=%q", name, value)
 	}
-	add("reason", string(c.Reason))
-	add("team", string(c.Team))
-	add("kind", string(c.Kind))
-	name := string(c.Metric)
-	if labels != "" {
-		name += "{" + labels + "}"
+	if len(parts) == 0 {
+		return string(metric)
 	}
-	d.metrics.GetOrCreateCounter(name).Add(c.Add)
+	return string(metric) + "{" + strings.Join(parts, ",") + "}"
 }
 
 var storeOutcomeNames = [...]string{"ok", "conflict", "not_found", "not_sent", "in_doubt", "unreadable"}
--- a/virtual/host.go
+++ b/virtual/host.go
@@ -176,6 +176,8 @@
 		h.setGrants(f)
 	case core.Count:
 		h.c.counts.Metrics[f.Metric] += f.Add
+	case core.Gauge:
+		// No test of this package reads gauges.
 	case core.Log:
 		h.noteLog(f)
 	case core.Ready:
