Bound the log lines with the same message

A failing worker list, a damaged store or a flood of broken requests wrote one line each, without bound. Of each message at most 60 lines a minute are written now, and the rest is counted in banyanrun_log_lines_dropped_total.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -49,6 +49,7 @@
 type Daemon struct {
 	set     Settings
 	log     zerolog.Logger
+	lines   logLines
 	clock   clock
 	store   platform.Store
 	hosts   platform.HostLister
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -96,7 +96,7 @@
 func (d *Daemon) putValue(ctx context.Context, f core.PutValue) {
 	data, err := wire.EncodeValue(f.Value)
 	if err != nil {
-		d.log.Error().Err(err).Str("key", f.Key).Msg("value cannot be encoded")
+		d.logFailure("value cannot be encoded", err, "key", f.Key)
 		d.answerStore(ctx, f.Op, platform.Result{Outcome: core.StoreNotSent, Err: err})
 		return
 	}
@@ -112,7 +112,7 @@
 	for _, item := range res.Items {
 		value, err := wire.DecodeValue(item.Value)
 		if err != nil {
-			d.log.Error().Err(err).Str("key", item.Key).Msg("value left untouched")
+			d.logFailure("value left untouched", err, "key", item.Key)
 			d.metrics.GetOrCreateCounter(fmt.Sprintf("banyanrun_store_unreadable_total{purpose=%q}", op.Purpose.String())).Inc()
 			if op.Purpose != core.PurposeDocumentList && op.Purpose != core.PurposeDocumentWatch {
 				a.Outcome = core.StoreUnreadable
--- a/entry/observe.go
+++ b/entry/observe.go
@@ -53,10 +53,11 @@
 	d.metrics.GetOrCreateCounter(name).Inc()
 }
 
-// logLine writes a line for the reducer.
+// logLine writes a line for the reducer, within the bound for its message.
 func (d *Daemon) logLine(l core.Log) {
 	levels := [...]zerolog.Level{zerolog.InfoLevel, zerolog.WarnLevel, zerolog.ErrorLevel}
-	e := d.log.WithLevel(levels[l.Level])
+	log := d.repeated(l.Message)
+	e := log.WithLevel(levels[l.Level])
 	for _, f := range []struct{ name, value string }{
 		{"job", string(l.Job)}, {"team", string(l.Team)}, {"worker", string(l.Worker)},
 		{"host", string(l.Host)}, {"reason", string(l.Reason)},
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -60,14 +60,14 @@
 func (d *Daemon) sendPeer(ctx context.Context, address, path string, message any) {
 	data, err := json.Marshal(message)
 	if err != nil {
-		d.log.Error().Err(err).Str("path", path).Msg("message cannot be encoded")
+		d.logFailure("message cannot be encoded", err, "path", path)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, d.peerURL(address, path), bytes.NewReader(data))
 	if err != nil {
-		d.log.Error().Err(err).Str("address", address).Msg("peer address is not usable")
+		d.logFailure("peer address is not usable", err, "address", address)
 		return
 	}
 	req.Header.Set("Content-Type", "application/json")
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -155,7 +155,7 @@
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(http.ErrAbortHandler)
 	}
-	d.log.Error().Interface("cause", cause).Str("path", r.URL.Path).Msg("handler failed")
+	d.logFailure("handler failed", fmt.Errorf("%v", cause), "path", r.URL.Path)
 	d.count(core.Count{Metric: core.MetricRefusals, Reason: core.ReasonInternal, Add: 1})
 	writeRefusal(w, &core.Refusal{
 		Reason: core.ReasonInternal, Verdict: core.MayHaveRun, Message: "internal error",
--- /dev/null
+++ b/entry/sampling.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+)
+
+// Bounds of the log lines with the same message, so that a flood of requests or
+// of failures does not flood the log.
+const (
+	logBurst  = 60
+	logPeriod = time.Minute
+	// maxLogMessages bounds the messages that are told apart. The program has
+	// fewer; further ones share one bound.
+	maxLogMessages = 256
+)
+
+// logLines bounds the log lines with the same message.
+type logLines struct {
+	mu        sync.Mutex
+	byMessage map[string]zerolog.Logger
+}
+
+// of returns the logger of a message, which drops lines beyond the bound and
+// counts them.
+func (l *logLines) of(message string, log zerolog.Logger, dropped *metrics.Counter) zerolog.Logger {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sampled, ok := l.byMessage[message]; ok {
+		return sampled
+	}
+	if len(l.byMessage) >= maxLogMessages {
+		message = ""
+		if sampled, ok := l.byMessage[message]; ok {
+			return sampled
+		}
+	}
+	sampled := log.Sample(&countingSampler{
+		next: &zerolog.BurstSampler{Burst: logBurst, Period: logPeriod}, dropped: dropped,
+	})
+	if l.byMessage == nil {
+		l.byMessage = map[string]zerolog.Logger{}
+	}
+	l.byMessage[message] = sampled
+	return sampled
+}
+
+// countingSampler counts what another sampler drops.
+type countingSampler struct {
+	next    zerolog.Sampler
+	dropped *metrics.Counter
+}
+
+// Sample implements zerolog.Sampler.
+func (s *countingSampler) Sample(level zerolog.Level) bool {
+	if s.next.Sample(level) {
+		return true
+	}
+	s.dropped.Inc()
+	return false
+}
+
+// repeated returns the logger for lines with a message that a flood may repeat.
+func (d *Daemon) repeated(message string) zerolog.Logger {
+	return d.lines.of(message, d.log, d.metrics.GetOrCreateCounter("banyanrun_log_lines_dropped_total"))
+}
+
+// logFailure writes an error with one field.
+func (d *Daemon) logFailure(message string, err error, field, value string) {
+	log := d.repeated(message)
+	log.Error().Err(err).Str(field, value).Msg(message)
+}
