--- a/core/reducer.go
+++ b/core/reducer.go
@@ -77,6 +77,7 @@
 	kinds   estimates
 	reserve reservations
 	parked  parkedRequests
+	gauges  gauges
 
 	throttledTasks []taskKey
 	nextUnthrottle Time
@@ -114,6 +115,7 @@
 		retries: newRetryBudgets(),
 		kinds:   newEstimates(),
 		reserve: newReservations(),
+		gauges:  newGauges(),
 	}
 }
 
@@ -205,6 +207,7 @@
 	r.tickRoom()
 	r.tickParked()
 	r.tickDrain()
+	r.tickGauges()
 }
 
 // emit adds an effect to the result of the current step.
