Count replicas by number and usable workers in the index

Cause: keeping replicas built every replica's name each second, and whether any worker is usable was found by looking at all of them in each tick. Change: a replica knows its number; the index counts usable workers.

--- a/core/index.go
+++ b/core/index.go
@@ -25,6 +25,8 @@
 // costs one comparison a request.
 type capacityIndex struct {
 	free []Resources
+	// usable counts the workers that may get work.
+	usable int
 	// needs and sets are parallel. The requests lie together, since each change
 	// of a worker looks at all of them.
 	needs    []Resources
@@ -47,6 +49,11 @@
 	if x.free[i] == free {
 		return
 	}
+	if x.free[i] == unusable {
+		x.usable++
+	} else if free == unusable {
+		x.usable--
+	}
 	x.free[i] = free
 	word, bit := i/wordBits, uint64(1)<<(i%wordBits)
 	for n := range x.needs {
--- a/core/job.go
+++ b/core/job.go
@@ -133,6 +133,8 @@
 	// service is set for replicas of a long-running service, which have no
 	// deadline and are kept by the document and not by a caller.
 	service string
+	// replica is the number of the replica, from 0.
+	replica int
 	// cancelled is set once a caller has asked for cancellation.
 	cancelled bool
 	// began is set once a worker is known to have started any task.
--- a/core/route.go
+++ b/core/route.go
@@ -85,7 +85,7 @@
 // elsewhere lists the owners of other data centres for interactive calls while
 // no worker here is usable, those of the own region first.
 func (r *Reducer) elsewhere() []string {
-	if !r.fleet.index.largest().Negative() {
+	if r.fleet.index.usable > 0 {
 		return nil
 	}
 	var near, far []string
--- a/core/service.go
+++ b/core/service.go
@@ -88,49 +88,43 @@
 // keepReplicas adds and retires replicas of one service, and replaces those of
 // an older document one at a time.
 func (r *Reducer) keepReplicas(key serviceKey, s *Service, kind *Kind) {
-	running := r.jobs.services[key]
-	kept := running[:0]
-	for _, j := range running {
-		if !j.state.Final() {
-			kept = append(kept, j)
-		}
-	}
-	running = kept
-	have := map[JobID]*job{}
-	for _, j := range running {
-		have[j.spec.ID] = j
-	}
+	kept := r.jobs.services[key][:0]
+	present := make([]bool, s.Replicas)
 	down := 0
-	for n := range s.Replicas {
-		id := replicaID(r.cfg.DataCentre, key, n)
-		j := have[id]
-		delete(have, id)
-		if j == nil {
-			j = r.addReplica(key, id, s, kind)
-			running = append(running, j)
+	for _, j := range r.jobs.services[key] {
+		if j.state.Final() {
+			continue
 		}
+		kept = append(kept, j)
+		if j.replica >= s.Replicas {
+			r.retireReplica(j)
+			continue
+		}
+		present[j.replica] = true
 		if j.state != JobRunning {
 			down++
 		}
 	}
-	r.jobs.services[key] = running
-	for _, j := range running {
-		if have[j.spec.ID] != nil {
-			r.retireReplica(j)
+	for n, there := range present {
+		if !there {
+			kept = append(kept, r.addReplica(key, n, s, kind))
+			down++
 		}
 	}
+	r.jobs.services[key] = kept
 	if down == 0 {
-		r.replaceOne(running, s, kind)
+		r.replaceOne(kept, s, kind)
 	}
 }
 
 // addReplica creates a replica. Until every worker has answered the current
 // epoch it may already run somewhere.
-func (r *Reducer) addReplica(key serviceKey, id JobID, s *Service, kind *Kind) *job {
+func (r *Reducer) addReplica(key serviceKey, n int, s *Service, kind *Kind) *job {
+	id := replicaID(r.cfg.DataCentre, key, n)
 	spec := JobSpec{ID: id, Team: key.team, Kind: kind.Name, Payload: []byte(s.Payload), Submitted: r.now}
 	j := r.newJob(spec, kind)
 	j.tasks = j.tasks[:1]
-	j.service = key.service
+	j.service, j.replica = key.service, n
 	// A worker may know attempts of an earlier replica of the same name.
 	j.tasks[0].highest = int(r.now / Time(time.Millisecond))
 	r.jobs.add(j)
