Keep calls off a leaving worker while the owner is silent

A host that is not the owner used its grants until they expired, 15 s after the last renewal, and read the platform's list every 10 s.

A host with grants of an owner that has been silent for 2 s now reads the list every second, and leaves out its grants on workers that the list shows as leaving. A fault case with a dead owner fails without this change.

Banyanrun-Moved-From is now read only from forwarded requests, which need the role host.

--- a/core/grants_local.go
+++ b/core/grants_local.go
@@ -19,11 +19,30 @@
 	g := &r.grants
 	g.localVer, g.localEpoch, g.local, g.localUntil = version, epoch, grants, until
 	r.emit(SetGrants{
-		Version: version, Epoch: epoch, Grants: grants, Expires: until, Kinds: r.interactiveKinds(),
+		Version: version, Epoch: epoch, Grants: r.withoutLeaving(grants), Expires: until, Kinds: r.interactiveKinds(),
 		Elsewhere: g.elsewhere,
 	})
 }
 
+// withoutLeaving leaves out grants on workers that the platform's list shows as
+// leaving. An owner withdraws them itself; while it is silent, the host that holds
+// them must not go on until they expire.
+func (r *Reducer) withoutLeaving(grants []Grant) []Grant {
+	if r.owner.active() {
+		return grants
+	}
+	var out []Grant
+	for _, g := range grants {
+		if w := r.fleet.get(g.Worker); w == nil || !w.leaving {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
+// holdsGrants reports whether grants of an owner are in force on this host.
+func (r *Reducer) holdsGrants() bool { return len(r.grants.local) > 0 && r.now < r.grants.localUntil }
+
 // announceKinds tells the traffic side of changed kinds, with the grants in
 // force. Calls of a new kind would otherwise be refused as unknown after the
 // operator was told that the document is in force.
--- a/core/peers.go
+++ b/core/peers.go
@@ -18,6 +18,9 @@
 	hostListPeriod = time.Second
 	// hostListSlow is how often other hosts read it.
 	hostListSlow = 10 * time.Second
+	// listSilence is how long the owner may be silent before the hosts with its
+	// grants read the list as often as it does. It leaves a second of the 3 s.
+	listSilence = 2 * heartbeatPeriod
 )
 
 // peer is another entry host of the data centre.
@@ -45,6 +48,8 @@
 	expected bool
 	nextBeat Time
 	nextList Time
+	// lastList is when the platform's list was last asked for.
+	lastList Time
 	listed   bool
 }
 
@@ -81,6 +86,9 @@
 		}
 	}
 	r.peers.update(r.cfg, l.Hosts)
+	if !r.owner.active() && r.holdsGrants() {
+		r.announceKinds()
+	}
 }
 
 // update takes over the listed entry hosts.
@@ -110,6 +118,9 @@
 
 // tickHostList reads the platform's list when it is due.
 func (r *Reducer) tickHostList() {
+	if !r.owner.active() && r.holdsGrants() && r.now.Sub(r.owner.ownerHeard) > listSilence {
+		r.peers.nextList = min(r.peers.nextList, r.peers.lastList.Add(hostListPeriod))
+	}
 	if r.now < r.peers.nextList {
 		return
 	}
@@ -117,7 +128,7 @@
 	if !r.owner.active() && r.peers.listed {
 		period = r.jitter(hostListSlow)
 	}
-	r.peers.nextList = r.now.Add(period)
+	r.peers.nextList, r.peers.lastList = r.now.Add(period), r.now
 	r.emit(ListHosts{})
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -38,8 +38,13 @@
 func isForwarded(r *http.Request) bool { return r.Header.Get(wire.HeaderForwarded) != "" }
 
 // movedFrom returns the data centre that has moved the request's job here, or an
-// empty name.
-func movedFrom(r *http.Request) string { return r.Header.Get(wire.HeaderMovedFrom) }
+// empty name. Only a host may say so, as with HeaderForwarded.
+func movedFrom(r *http.Request) string {
+	if !isForwarded(r) {
+		return ""
+	}
+	return r.Header.Get(wire.HeaderMovedFrom)
+}
 
 // question is a request that the reducer answers.
 type question struct {
--- a/virtual/faults_test.go
+++ b/virtual/faults_test.go
@@ -237,6 +237,18 @@
 		c.RunFor(20 * time.Second)
 		c.SetOutage(store.OutageNone)
 	}},
+	{"workers leave after the owner died, while calls use its grants", func(c *Cluster, owner core.HostID) {
+		c.KillHost(owner)
+		c.RunFor(500 * time.Millisecond)
+		for _, w := range c.workerList[1:] {
+			c.LeaveWorker(w.id, false)
+		}
+		for i := range 60 {
+			c.After(time.Duration(i)*200*time.Millisecond, func() {
+				c.Call(Call{ID: fmt.Sprintf("late-%d", i), Team: "red", Kind: "lookup", Host: c.other(owner), Program: worker.Program{RunMS: 50}})
+			})
+		}
+	}},
 	{"a worker leaves under load", func(c *Cluster, _ core.HostID) {
 		c.LeaveWorker("a-w1", false)
 	}},
