Keep room free for urgent work that is entitled to it

Cause: in a flood of work whose document allows no preemption, borrowed work filled every slot and urgent work of another team waited until a task ended.

--- a/core/estimate.go
+++ b/core/estimate.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// recent is the rate, or zero if no event was added lately.
+func (m *rateMeter) recent(now Time) float64 {
+	if now.Sub(m.last) > 2*meterWindow {
+		return 0
+	}
+	return m.rate
+}
+
 // expectedWait is how long a job that joins the queue now would wait, or zero
 // when nothing is known.
 func (k *kindQueue) expectedWait(now Time) time.Duration {
--- a/core/fairness.go
+++ b/core/fairness.go
@@ -56,6 +56,9 @@
 	if best < 0 {
 		return nil
 	}
+	if k := q.busy[best]; q.heads[best].borrowed() && !r.fleet.leavesHeadroom(k.first().demand()) {
+		return nil
+	}
 	if first >= 0 && q.heads[first].before(&q.heads[best]) {
 		k := q.busy[first]
 		if k.overtaken++; k.overtaken == 1 {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -76,6 +76,10 @@
 	usedBy []*team
 	// holds remembers the answers of canEverHold.
 	holds map[holdKey]int64
+	// assigned is what is assigned on all workers together, and headroom is
+	// what borrowed work must leave free.
+	assigned Resources
+	headroom Resources
 	// preemptible counts the placed tasks whose documents allow preemption.
 	preemptible int
 	// takeover is when this host began to fence workers.
@@ -226,6 +230,7 @@
 // hold adds need, which may be negative, to what is assigned on w.
 func (f *fleet) hold(w *worker, need Resources) {
 	w.assigned = w.assigned.Add(need)
+	f.assigned = f.assigned.Add(need)
 	if need.MilliCPU < 0 || need.MemoryMB < 0 || need.Slots < 0 || need.Accelerators < 0 || need.Connections < 0 {
 		f.release(w)
 	}
@@ -282,7 +287,7 @@
 		w.health = workerHealth{}
 		f.refresh(w)
 	}
-	f.freedAll, f.preemptible = true, 0
+	f.freedAll, f.preemptible, f.assigned = true, 0, Resources{}
 }
 
 // allSettled reports whether every listed worker has answered or is lost.
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -82,6 +82,7 @@
 	throttledTasks []taskKey
 	nextUnthrottle Time
 	nextRoom       Time
+	nextHeadroom   Time
 
 	// held lists durable assignments that wait for a certain lease.
 	held []TaskRef
@@ -205,6 +206,7 @@
 	r.tickGrants()
 	r.tickPreemption()
 	r.tickRoom()
+	r.tickHeadroom()
 	r.tickParked()
 	r.tickDrain()
 	r.tickGauges()
