Skip the search for the next queue when every shape is blocked

Cause: each step ended with a look at all heads that found none. Change: the table of shapes counts the queues whose shape is not blocked.

--- a/core/fairness.go
+++ b/core/fairness.go
@@ -40,6 +40,9 @@
 func (r *Reducer) nextQueue() *kindQueue {
 	q := &r.queues
 	r.refreshHeads()
+	if q.shapes.open == 0 {
+		return nil
+	}
 	best, first := -1, -1
 	for i := range q.heads {
 		h := &q.heads[i]
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -68,7 +68,7 @@
 func (r *Reducer) placeHead(k *kindQueue) {
 	j := k.first()
 	if !r.placeJob(k, j) {
-		r.queues.shapes.blocked[r.queues.heads[k.at].shape] = true
+		r.queues.shapes.block(r.queues.heads[k.at].shape)
 		return
 	}
 	k.starts.add(r.now)
