Let grants of the own traffic side expire soon

Change: the own grants last 3 s and are renewed each second; after a pause of the control loop they are renewed only after a new read of the host list.

--- a/core/grants.go
+++ b/core/grants.go
@@ -45,6 +45,12 @@
 	grantsPerTick = 64
 	// localGrantRenew is how often the own traffic side's grants are renewed.
 	localGrantRenew = time.Second
+	// localGrantFor is how long they last without renewal. After a pause of the
+	// process they have expired, so that no call goes to a worker that has left
+	// meanwhile.
+	localGrantFor = 3 * time.Second
+	// pauseNoticed is the time between two ticks that counts as a pause.
+	pauseNoticed = 2 * time.Second
 )
 
 // grantEntry is what one host may use of one worker for one kind.
--- a/core/grants_local.go
+++ b/core/grants_local.go
@@ -11,7 +11,7 @@
 	}
 	g.localRenew = r.now.Add(localGrantRenew)
 	g.elsewhere = r.elsewhere()
-	r.emitGrants(h.version, r.owner.epoch, h.list(&r.fleet), r.now.Add(r.cfg.GrantFor))
+	r.emitGrants(h.version, r.owner.epoch, h.list(&r.fleet), r.now.Add(localGrantFor))
 }
 
 // emitGrants replaces the grants of the traffic side.
--- a/core/reducer.go
+++ b/core/reducer.go
@@ -83,6 +83,7 @@
 	nextUnthrottle Time
 	nextRoom       Time
 	nextHeadroom   Time
+	lastTick       Time
 
 	// held lists durable assignments that wait for a certain lease.
 	held []TaskRef
@@ -197,6 +198,7 @@
 
 // tick drives everything that depends on time alone.
 func (r *Reducer) tick() {
+	r.noticePause()
 	r.tickOwnership()
 	r.tickPeers()
 	r.tickDocuments()
@@ -212,6 +214,16 @@
 	r.tickGauges()
 }
 
+// noticePause has grants renewed only after a new read of the host list when this
+// process was paused.
+func (r *Reducer) noticePause() {
+	if r.lastTick != 0 && r.now.Sub(r.lastTick) > pauseNoticed {
+		r.peers.nextList = r.now
+		r.grants.next = r.now.Add(hostListPeriod)
+	}
+	r.lastTick = r.now
+}
+
 // emit adds an effect to the result of the current step.
 func (r *Reducer) emit(f Effect) { r.out = append(r.out, f) }
 
