Keep work of all 120 teams waiting in the decision rows

With the backlog of 1.3 of the running jobs, teams with the greatest weight ran out of work: 114 teams were waiting at the least.

--- a/bench/decision.go
+++ b/bench/decision.go
@@ -65,7 +65,7 @@
 // decisionJobs draws the jobs that run from the start, then a backlog, then as
 // many arrivals as there are ends.
 func decisionJobs(t *Trace, fill int, rate float64, mean time.Duration) []Job {
-	const backlog = 1.3 // keeps work of every team waiting
+	const backlog = 1.6 // with 1.3, fast teams ran out of work in the measured time
 	rng := generator(t.Seed, 1)
 	weights := []core.KindName{"batch", "batch", "batch", "large", "large", "billed", "model", "small", "small", "small"}
 	n := int(float64(fill) * backlog)
