--- a/core/peers.go
+++ b/core/peers.go
@@ -9,6 +9,9 @@
 const (
 	// heartbeatPeriod is the time between two heartbeats to a peer.
 	heartbeatPeriod = time.Second
+	// quietBeats is how many periods lie between two heartbeats of hosts that
+	// are neither the owner nor the standby. It stays below peerSilence.
+	quietBeats = 3
 	// summaryNear and summaryFar are the times between two summaries to
 	// other data centres, within a region and across regions.
 	summaryNear = time.Second
@@ -47,6 +50,7 @@
 	heard    Time
 	expected bool
 	nextBeat Time
+	beats    uint64
 	nextList Time
 	// lastList is when the platform's list was last asked for.
 	lastList Time
@@ -138,7 +142,11 @@
 		return
 	}
 	r.peers.nextBeat = r.now.Add(heartbeatPeriod)
+	r.peers.beats++
 	for _, p := range r.peers.list {
+		if r.isQuiet(p) && r.peers.beats%quietBeats != 0 {
+			continue
+		}
 		r.emit(SendHeartbeat{Address: p.host.Address, Heartbeat: r.heartbeatFor(p)})
 	}
 	if r.owner.role == roleOwner {
@@ -146,6 +154,14 @@
 	}
 }
 
+// isQuiet reports whether a peer needs a heartbeat only now and then: neither of
+// the two hosts is the owner or the standby while an owner is heard.
+func (r *Reducer) isQuiet(p *peer) bool {
+	o := &r.owner
+	return !r.draining && !o.active() && r.ownerKnown() && p.heard != 0 &&
+		p.host.ID != o.ownerHost && p.host.ID != o.standby && o.standby != r.cfg.Host
+}
+
 // heartbeatFor builds the heartbeat for one peer.
 func (r *Reducer) heartbeatFor(p *peer) Heartbeat {
 	o := &r.owner
@@ -156,8 +172,8 @@
 	}
 	if !o.active() {
 		hb.Acknowledged, hb.AckEpoch = r.grants.localAck, r.grants.ackEpoch
-		hb.Calls = r.grants.localCalls
 		if p.host.ID == o.ownerHost {
+			hb.Calls = r.grants.localCalls
 			r.grants.localCalls = clearFinished(hb.Calls)
 		}
 		return hb
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -56,7 +56,7 @@
 	case core.SignalTask:
 		d.signalTask(ctx, f)
 	case core.SendHeartbeat:
-		d.sendPeer(ctx, f.Address, pathHeartbeat, f.Heartbeat)
+		d.sendPeer(ctx, f.Address, pathHeartbeat, wire.Heartbeat(f.Heartbeat))
 	case core.SendSummary:
 		d.sendPeer(ctx, f.Address, pathSummary, f.Summary)
 	case core.SendDocuments:
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -103,7 +103,9 @@
 }
 
 func (d *Daemon) heartbeat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	receive(d, w, r, func(m core.Heartbeat) core.EventBody { return core.PeerHeard{Heartbeat: m} })
+	receive(d, w, r, func(m wire.Heartbeat) core.EventBody {
+		return core.PeerHeard{Heartbeat: core.Heartbeat(m)}
+	})
 }
 
 func (d *Daemon) summary(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
