Keep the queues of each shape in a heap

Cause: each placement looked at the heads of all queues, 720 of them with 120 teams, once to find the next one and once more to find none. Change: queues whose heads need the same room wait in a heap by rank; the next queue is the best top of the heaps that are not blocked.

--- a/core/fairness.go
+++ b/core/fairness.go
@@ -40,38 +40,40 @@
 func (r *Reducer) nextQueue() *kindQueue {
 	q := &r.queues
 	r.refreshHeads()
-	if q.shapes.open == 0 {
-		return nil
-	}
-	best, first := -1, -1
-	for i := range q.heads {
-		h := &q.heads[i]
-		if q.shapes.blocked[h.shape] {
-			if first < 0 || h.before(&q.heads[first]) {
-				first = i
+	var best, first *kindQueue
+	for i := range q.shapes.list {
+		waiting := q.shapes.list[i].waiting
+		if len(waiting) == 0 {
+			continue
+		}
+		k := waiting[0]
+		if q.shapes.blocked[i] {
+			if first == nil || k.rank.before(&first.rank) {
+				first = k
 			}
 			continue
 		}
-		if best < 0 || h.before(&q.heads[best]) {
-			best = i
+		if best == nil || k.rank.before(&best.rank) {
+			best = k
 		}
 	}
-	if best < 0 {
+	if best == nil || best.rank.borrowed() && !r.fleet.leavesHeadroom(best.first().demand()) {
 		return nil
 	}
-	if k := q.busy[best]; q.heads[best].borrowed() && !r.fleet.leavesHeadroom(k.first().demand()) {
-		return nil
+	if first != nil && first.rank.before(&best.rank) {
+		r.noteOvertaken(first)
 	}
-	if first >= 0 && q.heads[first].before(&q.heads[best]) {
-		k := q.busy[first]
-		if k.overtaken++; k.overtaken == 1 {
-			k.passedAt = r.now
-		}
-		if k.overtaken >= overtakenLimit && r.now.Sub(k.passedAt) >= reserveAfter {
-			q.starved = k
-		}
+	return best
+}
+
+// noteOvertaken counts a placement that passed the first head without room.
+func (r *Reducer) noteOvertaken(k *kindQueue) {
+	if k.overtaken++; k.overtaken == 1 {
+		k.passedAt = r.now
+	}
+	if k.overtaken >= overtakenLimit && r.now.Sub(k.passedAt) >= reserveAfter {
+		r.queues.starved = k
 	}
-	return q.busy[best]
 }
 
 // refreshHeads computes the heads anew that may have changed.
@@ -102,13 +104,13 @@
 	if !r.entitled(k.team, j.demand()) {
 		class += borrowedClass
 	}
-	h := &r.queues.heads[k.at]
-	h.order, h.arrival = class*classWidth+r.share(k.team), j.arrival
-	if key := r.shapeOf(j); h.shape == noShape || r.queues.shapes.list[h.shape].key != key {
-		old := h.shape
-		h.shape = r.queues.shapes.acquire(key)
-		r.queues.shapes.release(old)
+	rank := head{order: class*classWidth + r.share(k.team), arrival: j.arrival, shape: k.rank.shape}
+	shapes := &r.queues.shapes
+	if key := r.shapeOf(j); rank.shape == noShape || shapes.list[rank.shape].key != key {
+		rank.shape = shapes.acquire(key)
 	}
+	shapes.setRank(k, rank)
+	r.queues.heads[k.at] = rank
 }
 
 // touchAll has every head computed anew.
--- a/core/queue.go
+++ b/core/queue.go
@@ -23,8 +23,11 @@
 	// from the middle stay in jobs until they reach the head.
 	size int
 	// at is the place of the queue in queues.busy and queues.heads while it is
-	// not empty.
-	at int
+	// not empty, and heapAt that in the heap of its shape.
+	at     int
+	heapAt int
+	// rank is queues.heads[at], also for the heap.
+	rank head
 	// stale is set while the queue's entry in queues.heads must be computed
 	// anew.
 	stale bool
@@ -90,7 +93,8 @@
 		k.jobs, k.head = k.jobs[:0], 0
 		k.at, k.overtaken, k.passedAt, k.nextRoom = len(q.busy), 0, 0, 0
 		q.busy = append(q.busy, k)
-		q.heads = append(q.heads, head{shape: noShape})
+		k.rank = head{shape: noShape}
+		q.heads = append(q.heads, k.rank)
 		q.touch(k)
 	}
 	j.inQueue = true
@@ -123,7 +127,7 @@
 
 // drop takes an empty queue out of the list of busy ones.
 func (q *queues) drop(k *kindQueue) {
-	q.shapes.release(q.heads[k.at].shape)
+	q.shapes.leave(k)
 	last := len(q.busy) - 1
 	q.busy[k.at], q.heads[k.at] = q.busy[last], q.heads[last]
 	q.busy[k.at].at = k.at
--- /dev/null
+++ b/core/queueheap.go
@@ -0,0 +1,53 @@
+package core
+
+import "container/heap"
+
+// queueHeap orders the queues whose heads have the same shape by the rank of
+// their heads.
+type queueHeap []*kindQueue
+
+func (h queueHeap) Len() int           { return len(h) }
+func (h queueHeap) Less(a, b int) bool { return h[a].rank.before(&h[b].rank) }
+func (h queueHeap) Swap(a, b int) {
+	h[a], h[b] = h[b], h[a]
+	h[a].heapAt, h[b].heapAt = a, b
+}
+
+// Push implements heap.Interface.
+func (h *queueHeap) Push(x any) {
+	k := x.(*kindQueue)
+	k.heapAt = len(*h)
+	*h = append(*h, k)
+}
+
+// Pop implements heap.Interface.
+func (h *queueHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
+
+// setRank changes the rank of a queue's head, and with it the shape that the queue
+// waits with.
+func (t *shapeTable) setRank(k *kindQueue, rank head) {
+	if k.rank.shape == rank.shape {
+		k.rank = rank
+		heap.Fix(&t.list[rank.shape].waiting, k.heapAt)
+		return
+	}
+	t.leave(k)
+	k.rank = rank
+	heap.Push(&t.list[rank.shape].waiting, k)
+}
+
+// leave takes a queue out of the heap of its shape and counts one user less.
+func (t *shapeTable) leave(k *kindQueue) {
+	if k.rank.shape == noShape {
+		return
+	}
+	heap.Remove(&t.list[k.rank.shape].waiting, k.heapAt)
+	t.release(k.rank.shape)
+	k.rank.shape = noShape
+}
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -68,7 +68,7 @@
 func (r *Reducer) placeHead(k *kindQueue) {
 	j := k.first()
 	if !r.placeJob(k, j) {
-		r.queues.shapes.block(r.queues.heads[k.at].shape)
+		r.queues.shapes.blocked[k.rank.shape] = true
 		return
 	}
 	k.starts.add(r.now)
--- a/core/shape.go
+++ b/core/shape.go
@@ -28,6 +28,8 @@
 	pending bool
 	users   int
 	key     shapeKey
+	// waiting are the queues whose heads have the shape.
+	waiting queueHeap
 }
 
 // shapeTable holds the shapes of the heads of all queues. They are kept together
@@ -38,10 +40,8 @@
 	// worker has released as much as the shape needs. It is apart because each
 	// placement reads it for every queue.
 	blocked []bool
-	// open counts the queues whose shape is not blocked.
-	open  int
-	free  []int
-	byKey map[shapeKey]int
+	free    []int
+	byKey   map[shapeKey]int
 }
 
 func newShapeTable() shapeTable { return shapeTable{byKey: map[shapeKey]int{}} }
@@ -74,37 +74,15 @@
 		t.byKey[key] = i
 	}
 	t.list[i].users++
-	if !t.blocked[i] {
-		t.open++
-	}
 	return i
 }
 
-// block notes that no room was found for a shape.
-func (t *shapeTable) block(i int) {
-	if !t.blocked[i] {
-		t.blocked[i] = true
-		t.open -= t.list[i].users
-	}
-}
-
-// unblock lets a shape be tried again.
-func (t *shapeTable) unblock(i int) {
-	if t.blocked[i] {
-		t.blocked[i] = false
-		t.open += t.list[i].users
-	}
-}
-
 // release counts one user less and forgets a shape without users.
 func (t *shapeTable) release(i int) {
 	if i == noShape {
 		return
 	}
 	s := &t.list[i]
-	if !t.blocked[i] {
-		t.open--
-	}
 	if s.users--; s.users == 0 {
 		delete(t.byKey, s.key)
 		t.blocked[i] = false
@@ -123,14 +101,14 @@
 			s.pending = true
 			continue
 		}
-		t.unblock(i)
+		t.blocked[i] = false
 	}
 }
 
 // reopenAll lets every shape be tried again.
 func (t *shapeTable) reopenAll() {
 	for i := range t.list {
-		t.unblock(i)
+		t.blocked[i] = false
 		t.list[i].pending = false
 	}
 }
@@ -140,7 +118,7 @@
 func (t *shapeTable) reopenPending() {
 	for i := range t.list {
 		if s := &t.list[i]; s.pending {
-			t.unblock(i)
+			t.blocked[i] = false
 			s.pending = false
 		}
 	}
