--- a/load/plot.go
+++ b/load/plot.go
@@ -68,6 +68,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "due (s)", label
 	p.Legend.Top = true
+	const headroom = 1.5 // keeps the legend clear of the points
 	highest := 0.0
 	for i, name := range slices.Sorted(maps.Keys(points)) {
 		xy := make(plotter.XYs, len(points[name]))
@@ -96,5 +97,6 @@
 		p.Add(shade)
 		p.Legend.Add("flood", shade)
 	}
+	p.Y.Max = max(p.Y.Max, headroom*highest)
 	return p, nil
 }
