--- a/core/fairness.go
+++ b/core/fairness.go
@@ -40,6 +40,9 @@
 func (r *Reducer) nextQueue() *kindQueue {
 	q := &r.queues
 	r.refreshHeads()
+	if q.shapes.open == 0 {
+		return nil
+	}
 	best, first := -1, -1
 	for i := range q.heads {
 		h := &q.heads[i]
@@ -56,6 +59,9 @@
 	if best < 0 {
 		return nil
 	}
+	if k := q.busy[best]; q.heads[best].borrowed() && !r.fleet.leavesHeadroom(k.first().demand()) {
+		return nil
+	}
 	if first >= 0 && q.heads[first].before(&q.heads[best]) {
 		k := q.busy[first]
 		if k.overtaken++; k.overtaken == 1 {
--- a/core/peers.go
+++ b/core/peers.go
@@ -9,6 +9,9 @@
 const (
 	// heartbeatPeriod is the time between two heartbeats to a peer.
 	heartbeatPeriod = time.Second
+	// quietBeats is how many periods lie between two heartbeats of hosts that
+	// are neither the owner nor the standby. It stays below peerSilence.
+	quietBeats = 3
 	// summaryNear and summaryFar are the times between two summaries to
 	// other data centres, within a region and across regions.
 	summaryNear = time.Second
@@ -18,6 +21,9 @@
 	hostListPeriod = time.Second
 	// hostListSlow is how often other hosts read it.
 	hostListSlow = 10 * time.Second
+	// listSilence is how long the owner may be silent before the hosts with its
+	// grants read the list as often as it does. It leaves a second of the 3 s.
+	listSilence = 2 * heartbeatPeriod
 )
 
 // peer is another entry host of the data centre.
@@ -44,7 +50,10 @@
 	heard    Time
 	expected bool
 	nextBeat Time
+	beats    uint64
 	nextList Time
+	// lastList is when the platform's list was last asked for.
+	lastList Time
 	listed   bool
 }
 
@@ -81,6 +90,9 @@
 		}
 	}
 	r.peers.update(r.cfg, l.Hosts)
+	if !r.owner.active() && r.holdsGrants() {
+		r.announceKinds()
+	}
 }
 
 // update takes over the listed entry hosts.
@@ -110,6 +122,9 @@
 
 // tickHostList reads the platform's list when it is due.
 func (r *Reducer) tickHostList() {
+	if !r.owner.active() && r.holdsGrants() && r.now.Sub(r.owner.ownerHeard) > listSilence {
+		r.peers.nextList = min(r.peers.nextList, r.peers.lastList.Add(hostListPeriod))
+	}
 	if r.now < r.peers.nextList {
 		return
 	}
@@ -117,7 +132,7 @@
 	if !r.owner.active() && r.peers.listed {
 		period = r.jitter(hostListSlow)
 	}
-	r.peers.nextList = r.now.Add(period)
+	r.peers.nextList, r.peers.lastList = r.now.Add(period), r.now
 	r.emit(ListHosts{})
 }
 
@@ -127,7 +142,11 @@
 		return
 	}
 	r.peers.nextBeat = r.now.Add(heartbeatPeriod)
+	r.peers.beats++
 	for _, p := range r.peers.list {
+		if r.isQuiet(p) && r.peers.beats%quietBeats != 0 {
+			continue
+		}
 		r.emit(SendHeartbeat{Address: p.host.Address, Heartbeat: r.heartbeatFor(p)})
 	}
 	if r.owner.role == roleOwner {
@@ -135,6 +154,14 @@
 	}
 }
 
+// isQuiet reports whether a peer needs a heartbeat only now and then: neither of
+// the two hosts is the owner or the standby while an owner is heard.
+func (r *Reducer) isQuiet(p *peer) bool {
+	o := &r.owner
+	return !r.draining && !o.active() && r.ownerKnown() && p.heard != 0 &&
+		p.host.ID != o.ownerHost && p.host.ID != o.standby && o.standby != r.cfg.Host
+}
+
 // heartbeatFor builds the heartbeat for one peer.
 func (r *Reducer) heartbeatFor(p *peer) Heartbeat {
 	o := &r.owner
@@ -145,8 +172,8 @@
 	}
 	if !o.active() {
 		hb.Acknowledged, hb.AckEpoch = r.grants.localAck, r.grants.ackEpoch
-		hb.Calls = r.grants.localCalls
 		if p.host.ID == o.ownerHost {
+			hb.Calls = r.grants.localCalls
 			r.grants.localCalls = clearFinished(hb.Calls)
 		}
 		return hb
