Share the parsing of settings, the host list's conversion and test addresses

Change: packages internal/cli and internal/testaddr, and wire.HostList.Core. A free address for a test lies on a loopback address of its process.

--- a/cmd/banyanrun-bench/main.go
+++ b/cmd/banyanrun-bench/main.go
@@ -9,10 +9,9 @@
 	"runtime/debug"
 	"runtime/pprof"
 
-	"github.com/jessevdk/go-flags"
-
 	"banyanrun.example/banyanrun/bench"
 	"banyanrun.example/banyanrun/bench/processes"
+	"banyanrun.example/banyanrun/internal/cli"
 )
 
 // settings are the command's flags.
@@ -29,8 +28,6 @@
 
 // Exit codes.
 const (
-	exitFailed = 1
-	exitUsage  = 2
 	exitMissed = 3
 )
 
@@ -39,12 +36,8 @@
 // run returns the exit code.
 func run() int {
 	var set settings
-	if _, err := flags.Parse(&set); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if code, ok := cli.Parse(&set, os.Args[1:]); !ok {
+		return code
 	}
 	err := measure(&set)
 	switch {
@@ -53,7 +46,7 @@
 		return exitMissed
 	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+		return cli.ExitFailed
 	}
 	return 0
 }
--- a/cmd/banyanrun-capacity/main.go
+++ b/cmd/banyanrun-capacity/main.go
@@ -3,13 +3,11 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"banyanrun.example/banyanrun/capacity"
+	"banyanrun.example/banyanrun/internal/cli"
 )
 
 // settings are the command's flags.
@@ -30,12 +28,8 @@
 // run returns the exit code.
 func run(args []string) int {
 	var set settings
-	if _, err := flags.NewParser(&set, flags.Default).ParseArgs(args); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			return 0
-		}
-		return 2
+	if code, ok := cli.Parse(&set, args); !ok {
+		return code
 	}
 	for _, s := range allSeries() {
 		if err := measure(s, set.Seed); err != nil {
--- a/cmd/banyanrun-demo/main.go
+++ b/cmd/banyanrun-demo/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,14 +11,10 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"banyanrun.example/banyanrun/demo"
+	"banyanrun.example/banyanrun/internal/cli"
 )
 
-// exitUsage is the exit code for flags that are not allowed.
-const exitUsage = 2
-
 // settings are the command's flags.
 type settings struct {
 	Entry    string        `long:"entry" default:"127.0.0.1:7600" description:"ip:port of the entry host"`
@@ -33,12 +28,8 @@
 // run returns the exit code.
 func run(args []string) int {
 	var set settings
-	if _, err := flags.ParseArgs(&set, args); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if code, ok := cli.Parse(&set, args); !ok {
+		return code
 	}
 	cfg := demo.Config{
 		Entry: set.Entry, Platform: set.Platform, Out: os.Stdout,
@@ -48,7 +39,7 @@
 		example, err := demo.ReadExample(dir)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			return exitUsage
+			return cli.ExitUsage
 		}
 		cfg.Examples = append(cfg.Examples, example)
 	}
--- a/cmd/banyanrun-entry/main.go
+++ b/cmd/banyanrun-entry/main.go
@@ -3,23 +3,19 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"banyanrun.example/banyanrun/embedded"
 	"banyanrun.example/banyanrun/entry"
+	"banyanrun.example/banyanrun/internal/cli"
 )
 
-// exitUsage is the exit code for settings that are not allowed.
-const exitUsage = 2
-
 // settings are the command's flags.
 type settings struct {
 	entry.Settings
@@ -33,18 +29,13 @@
 // run returns the exit code.
 func run(args []string) int {
 	var set settings
-	parser := flags.NewParser(&set, flags.Default)
-	if _, err := parser.ParseArgs(args); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if code, ok := cli.Parse(&set, args); !ok {
+		return code
 	}
 	level, err := zerolog.ParseLevel(set.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, &entry.SettingError{Setting: "log-level", Value: set.LogLevel, Allowed: "debug, info, warn, error"})
-		return exitUsage
+		return cli.ExitUsage
 	}
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
@@ -60,7 +51,7 @@
 	daemon, err := entry.New(set.Settings, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitUsage
+		return cli.ExitUsage
 	}
 	began := time.Now()
 	if err := daemon.Run(ctx); err != nil {
--- a/cmd/banyanrun-load/main.go
+++ b/cmd/banyanrun-load/main.go
@@ -12,9 +12,8 @@
 	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
 	"banyanrun.example/banyanrun/bench"
+	"banyanrun.example/banyanrun/internal/cli"
 	"banyanrun.example/banyanrun/load"
 )
 
@@ -38,12 +37,8 @@
 // run returns the exit code.
 func run() int {
 	var set settings
-	if _, err := flags.Parse(&set); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			return 0
-		}
-		return 2
+	if code, ok := cli.Parse(&set, os.Args[1:]); !ok {
+		return code
 	}
 	if err := play(&set); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/banyanrun-replay/main.go
+++ b/cmd/banyanrun-replay/main.go
@@ -3,13 +3,11 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
-	"github.com/jessevdk/go-flags"
-
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/internal/cli"
 	"banyanrun.example/banyanrun/replay"
 )
 
@@ -24,8 +22,6 @@
 
 // Exit codes.
 const (
-	exitFailed    = 1
-	exitUsage     = 2
 	exitDifferent = 3
 )
 
@@ -34,21 +30,17 @@
 // run returns the exit code.
 func run() int {
 	var set settings
-	if _, err := flags.Parse(&set); err != nil {
-		var wrong *flags.Error
-		if errors.As(err, &wrong) && wrong.Type == flags.ErrHelp {
-			return 0
-		}
-		return exitUsage
+	if code, ok := cli.Parse(&set, os.Args[1:]); !ok {
+		return code
 	}
 	if set.Until < 0 {
 		fmt.Fprintf(os.Stderr, "setting until is %d; allowed: 0 or more\n", set.Until)
-		return exitUsage
+		return cli.ExitUsage
 	}
 	file, err := os.Open(set.Args.Recording)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+		return cli.ExitFailed
 	}
 	defer file.Close()
 	result, err := replay.Run(file, replay.Options{Until: set.Until, Job: core.JobID(set.Job)})
@@ -58,7 +50,7 @@
 	switch {
 	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
-		return exitFailed
+		return cli.ExitFailed
 	case result.Difference != nil:
 		return exitDifferent
 	}
--- a/cmd/banyanrun-standin/main.go
+++ b/cmd/banyanrun-standin/main.go
@@ -2,26 +2,21 @@
 package main
 
 import (
-	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"banyanrun.example/banyanrun/internal/cli"
 	"banyanrun.example/banyanrun/standin"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 )
 
 func main() {
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	var s settings
-	if _, err := flags.Parse(&s); err != nil {
-		var flagError *flags.Error
-		if errors.As(err, &flagError) && flagError.Type == flags.ErrHelp {
-			return
-		}
-		os.Exit(2) // go-flags has printed the error
+	if code, ok := cli.Parse(&s, os.Args[1:]); !ok {
+		os.Exit(code)
 	}
 	cfg, err := s.config()
 	if err != nil {
--- a/entry/authority_test.go
+++ b/entry/authority_test.go
@@ -17,6 +17,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"banyanrun.example/banyanrun/internal/testaddr"
 )
 
 // Ages of a test certificate: how long it is still valid.
@@ -77,7 +79,7 @@
 		NotAfter:    time.Now().Add(left),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), testaddr.IP()},
 	}, &a.issued)
 }
 
--- a/entry/peerlisten_test.go
+++ b/entry/peerlisten_test.go
@@ -6,20 +6,10 @@
 	"testing"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/internal/testaddr"
 	"banyanrun.example/banyanrun/wire"
 )
 
-// freeAddress returns a loopback address that is free now.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // Guards against callers that keep peers out by using up the connections, which
 // would cost the data centre its owner, and against callers at the peers'
 // address, who could use up that one.
@@ -38,7 +28,7 @@
 		{"with keys", "https://", []string{"--cert=" + dir + "/cert", "--key=" + dir + "/key", "--ca=" + dir + "/ca"}, host, caller, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			peers := freeAddress(t)
+			peers := testaddr.Free(t)
 			callers := start(t, append(c.args, "--max-connections=1", "--peer-listen="+peers)...)
 			held, err := net.Dial("tcp", callers)
 			if err != nil {
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,30 @@
+// Package cli parses the settings of the programs, which are flags with an
+// environment variable each.
+package cli
+
+import (
+	"errors"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes that all programs share.
+const (
+	ExitOK     = 0
+	ExitFailed = 1
+	ExitUsage  = 2
+)
+
+// Parse reads args into settings, a pointer to a struct with go-flags tags. It
+// prints help and errors itself. If ok is false the program ends with code.
+func Parse(settings any, args []string) (code int, ok bool) {
+	_, err := flags.NewParser(settings, flags.Default).ParseArgs(args)
+	var wrong *flags.Error
+	switch {
+	case err == nil:
+		return ExitOK, true
+	case errors.As(err, &wrong) && wrong.Type == flags.ErrHelp:
+		return ExitOK, false
+	}
+	return ExitUsage, false
+}
--- a/internal/testaddr/testaddr.go
+++ b/internal/testaddr/testaddr.go
@@ -3,6 +3,8 @@
 
 import (
 	"fmt"
+	"net"
+	"os"
 	"syscall"
 	"testing"
 )
@@ -29,3 +31,22 @@
 	}
 	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
 }
+
+// IP returns a loopback address of this process's own.
+func IP() net.IP {
+	pid := os.Getpid()
+	return net.IPv4(127, 128, byte(pid>>8), byte(pid))
+}
+
+// Free returns an address that nobody listens on. It is on a loopback address of
+// this process's own, so that no other process takes the port before the test does.
+func Free(t *testing.T) string {
+	t.Helper()
+	ip := IP()
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
--- a/load/http_test.go
+++ b/load/http_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"banyanrun.example/banyanrun/embedded"
 	"banyanrun.example/banyanrun/entry"
+	"banyanrun.example/banyanrun/internal/testaddr"
 	"banyanrun.example/banyanrun/load"
 	"banyanrun.example/banyanrun/wire"
 
@@ -26,7 +26,7 @@
 func daemon(t *testing.T, documentPath, team string) (host, admin string) {
 	t.Helper()
 	var set entry.Settings
-	if _, err := flags.ParseArgs(&set, []string{"--listen", freeAddress(t), "--data-centre", "dc"}); err != nil {
+	if _, err := flags.ParseArgs(&set, []string{"--listen", testaddr.Free(t), "--data-centre", "dc"}); err != nil {
 		t.Fatal(err)
 	}
 	platform, err := embedded.Start(&set, "127.0.0.1:0")
@@ -76,27 +76,16 @@
 	return resp.StatusCode
 }
 
-// freeAddress picks a loopback address whose port is free.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // A tool that sends what the daemon's API does not understand, or that misreads
 // its answers or the ledger, would report a run that did not happen.
 func TestRunOfAMixMatchesTheLedgerOfADaemon(t *testing.T) {
-	host, admin := daemon(t, filepath.Join("..", "examples", "prairie", "document.json"), "prairie")
+	host, admin := daemon(t, filepath.Join("testdata", "document.json"), "alpha")
 	mix := load.Mix{Name: "test", Seed: 1, DurationMS: 2000, Rates: []load.Rate{
-		{Team: "prairie", Kind: "strand-mapping", PerSecond: 10, RunMS: 50},
-		{Team: "prairie", Kind: "bulb-check", Call: true, PerSecond: 10, RunMS: 20},
+		{Team: "alpha", Kind: "batch", PerSecond: 10, RunMS: 50},
+		{Team: "alpha", Kind: "lookup", Call: true, PerSecond: 10, RunMS: 20},
 	}}
 	arrivals := mix.Arrivals()
-	arrivals = append(arrivals, load.Arrival{ID: "unknown", Team: "prairie", Kind: "no-such-kind", RunMS: 1})
+	arrivals = append(arrivals, load.Arrival{ID: "unknown", Team: "alpha", Kind: "no-such-kind", RunMS: 1})
 	report, err := load.Run(t.Context(), load.Config{
 		Arrivals: arrivals, Hosts: []string{host}, Admin: admin, Prefix: "t-", Settle: time.Minute, MaxOpen: 500,
 	})
@@ -109,7 +98,7 @@
 	if report.Findings == nil || *report.Findings != (load.Findings{}) {
 		t.Errorf("findings are %+v; want none", report.Findings)
 	}
-	for _, kind := range []string{"prairie/strand-mapping", "prairie/bulb-check"} {
+	for _, kind := range []string{"alpha/batch", "alpha/lookup"} {
 		k := report.Kinds[kind]
 		if k.Answered == 0 || k.Started != k.Answered || k.WaitP99 > k.AnswerP99 {
 			t.Errorf("times of %s are %+v; want a start for each answer, and no wait beyond it", kind, k)
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"banyanrun.example/banyanrun/embedded"
 	"banyanrun.example/banyanrun/entry"
+	"banyanrun.example/banyanrun/internal/testaddr"
 	"banyanrun.example/banyanrun/replay"
 )
 
@@ -28,7 +28,7 @@
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "recording")
 	set := entry.Settings{
-		Listen: freeAddress(t), Record: path, OwnerLease: 6 * time.Second, TaskLease: 30 * time.Second,
+		Listen: testaddr.Free(t), Record: path, OwnerLease: 6 * time.Second, TaskLease: 30 * time.Second,
 		SyncWait: 10 * time.Second, StoreTimeout: 2 * time.Second, WorkerTimeout: 2 * time.Second,
 		DrainTimeout: 10 * time.Second, JournalRate: 4, MaxRequests: 64,
 	}
@@ -59,18 +59,6 @@
 	return data
 }
 
-// freeAddress returns an address that is free now. The daemon must know its own
-// port, since it forwards parked requests to the owner, which is itself.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // send repeats a request until it succeeds. The tries bound the wait for the
 // daemon's start.
 func send(t *testing.T, method, url, body string) {
--- a/virtual/platform.go
+++ b/virtual/platform.go
@@ -168,25 +168,9 @@
 		c.store.step(c, store.Asked{Request: store.RequestID(id), Call: store.Hosts{}})
 	}, func(body any, f failure) {
 		if f == answered {
-			h.post(hostsListed(body.(store.Answer).Body.(wire.HostList)))
+			list := body.(store.Answer).Body.(wire.HostList)
+			workers, hosts := list.Core()
+			h.post(core.HostsListed{Workers: workers, Hosts: hosts})
 		}
 	})
 }
-
-func hostsListed(list wire.HostList) core.HostsListed {
-	var out core.HostsListed
-	for _, w := range list.Workers {
-		out.Workers = append(out.Workers, core.ListedWorker{
-			ID: core.WorkerID(w.ID), Address: w.Address, Rack: w.Rack,
-			DataCentre: core.DataCentre(w.DataCentre), Region: core.Region(w.Region),
-			Capacity: w.Capacity.Core(), Leaving: w.Leaving,
-		})
-	}
-	for _, l := range list.Hosts {
-		out.Hosts = append(out.Hosts, core.ListedHost{
-			ID: core.HostID(l.ID), Address: l.Address, Leaving: l.Leaving,
-			DataCentre: core.DataCentre(l.DataCentre), Region: core.Region(l.Region),
-		})
-	}
-	return out
-}
--- a/wire/store.go
+++ b/wire/store.go
@@ -1,5 +1,7 @@
 package wire
 
+import "banyanrun.example/banyanrun/core"
+
 // The platform's store speaks JSON over HTTP:
 //
 //	GET    /v1/kv/<key>              Item, or 404
@@ -102,3 +104,23 @@
 	Region     string `json:"region"`
 	Leaving    bool   `json:"leaving"`
 }
+
+// Core converts the list.
+func (l *HostList) Core() ([]core.ListedWorker, []core.ListedHost) {
+	var workers []core.ListedWorker
+	for _, w := range l.Workers {
+		workers = append(workers, core.ListedWorker{
+			ID: core.WorkerID(w.ID), Address: w.Address, Rack: w.Rack,
+			DataCentre: core.DataCentre(w.DataCentre), Region: core.Region(w.Region),
+			Capacity: w.Capacity.Core(), Leaving: w.Leaving,
+		})
+	}
+	var hosts []core.ListedHost
+	for _, h := range l.Hosts {
+		hosts = append(hosts, core.ListedHost{
+			ID: core.HostID(h.ID), Address: h.Address, Leaving: h.Leaving,
+			DataCentre: core.DataCentre(h.DataCentre), Region: core.Region(h.Region),
+		})
+	}
+	return workers, hosts
+}
