Give a host with waiting calls a share of scarce grants

Cause: when the limits of the workers allow few calls of a kind, a host could keep all slots, in reserve or in use, while calls at another one waited until their deadline. Change: a host that has calls waiting and gets no grant makes the others give up their reserve and what exceeds an equal share. Before: TestWaitingHostGetsAShare fails. After: it passes.

--- a/core/grants.go
+++ b/core/grants.go
@@ -99,6 +99,8 @@
 	localUntil Time
 	elsewhere  []string
 	localRenew Time
+	// short holds the kinds that some host is short of.
+	short      map[queueKey]shortage
 	localCalls []CallReport
 	localAck   uint64
 	ackEpoch   Epoch
@@ -112,7 +114,7 @@
 	until  Time
 }
 
-func newGrantTable() grantTable { return grantTable{} }
+func newGrantTable() grantTable { return grantTable{short: map[queueKey]shortage{}} }
 
 // of returns the grants of a host, creating them.
 func (g *grantTable) of(host HostID) *hostGrants {
@@ -221,15 +223,12 @@
 	if !live {
 		want = 0
 	}
-	have := 0
-	for _, e := range h.entries {
-		if e.queue == key {
-			have += e.target
-		}
-	}
+	want = r.limitToShare(h, key, d, want)
+	have := h.targets(key)
 	for ; have < want && *budget > 0; have++ {
 		*budget--
 		if !r.addGrant(h, t, k, key) {
+			r.noteShortage(h, key, d)
 			return
 		}
 	}
@@ -242,6 +241,17 @@
 	}
 }
 
+// targets is how many slots of a kind the host is to have.
+func (h *hostGrants) targets(key queueKey) int {
+	n := 0
+	for _, e := range h.entries {
+		if e.queue == key {
+			n += e.target
+		}
+	}
+	return n
+}
+
 // addGrant grants one more slot of a kind to a host. Beyond its quota a team
 // gets only what nobody entitled waits for.
 func (r *Reducer) addGrant(h *hostGrants, t *team, k *Kind, key queueKey) bool {
