Explain when a kind's declared processors are far off

Cause: usage reports were averaged but nothing read the average. Change: explain says when the tasks of a waiting job's kind use less than half of the processors that their document asks for.

--- a/core/estimate.go
+++ b/core/estimate.go
@@ -21,8 +21,10 @@
 // admission; they never let a worker hold more than it has.
 type kindEstimate struct {
 	runTime *hdrhistogram.Histogram
-	// usedShare is a moving average of measured over declared processors.
-	usedShare float64
+	// usedShare is a moving average of measured over declared processors, and
+	// usedReports counts the reports in it.
+	usedShare   float64
+	usedReports int
 	// known and value cache the percentile asked for last, by the number of
 	// outcomes. Each look at a histogram walks it.
 	known      int64
@@ -65,9 +67,23 @@
 	}
 	k := e.of(j)
 	share := float64(used.MilliCPU) / float64(j.kind.Request.MilliCPU)
+	if k.usedReports++; k.usedReports == 1 {
+		k.usedShare = share
+	}
 	k.usedShare += weight * (share - k.usedShare)
 }
 
+// overstated returns the part of the declared processors that tasks of j's kind
+// use, if it is less than half by enough reports.
+func (e *estimates) overstated(j *job) (share float64, ok bool) {
+	const half = 0.5
+	k := e.byKind[queueKey{j.spec.Team, j.spec.Kind}]
+	if k == nil || k.usedReports < leastSamples || k.usedShare >= half {
+		return 0, false
+	}
+	return k.usedShare, true
+}
+
 // runTime is the time that a task of j takes, by outcomes or as declared.
 func (e *estimates) runTime(j *job, percentile float64) time.Duration {
 	k := e.byKind[queueKey{j.spec.Team, j.spec.Kind}]
--- /dev/null
+++ b/core/estimate_test.go
@@ -0,0 +1,33 @@
+package core
+
+import (
+	"testing"
+	"time"
+)
+
+// TestEstimatesFollowReports guards against declared figures that are used although
+// outcomes have shown them to be far off.
+func TestEstimatesFollowReports(t *testing.T) {
+	j := &job{
+		spec: JobSpec{Team: "t", Kind: "k"},
+		kind: &Kind{Name: "k", RunTime: time.Hour, Request: Resources{MilliCPU: 1000}},
+	}
+	e := newEstimates()
+	if got := e.runTime(j, medianPercentile); got != time.Hour {
+		t.Errorf("without outcomes the run time is %s, want the declared one", got)
+	}
+	for range leastSamples {
+		if _, ok := e.overstated(j); ok {
+			t.Error("too few reports say that the declared size is far off")
+		}
+		e.noteEnd(j, &TaskReport{State: ReportedSucceeded, RunTime: time.Minute})
+		e.noteUse(j, Resources{MilliCPU: 200})
+	}
+	const precision = 0.1 // of one digit
+	if got := e.runTime(j, medianPercentile); (got - time.Minute).Abs().Seconds() > precision*time.Minute.Seconds() {
+		t.Errorf("the run time is %s, want about a minute", got)
+	}
+	if share, ok := e.overstated(j); !ok || share < 0.19 || share > 0.21 {
+		t.Errorf("the used share is %v, %v; want about 0.2", share, ok)
+	}
+}
--- a/core/views.go
+++ b/core/views.go
@@ -175,6 +175,10 @@
 	} else {
 		e.Reasons = append(e.Reasons, "its team has used its quota, so it waits for capacity that no other team needs")
 	}
+	if share, ok := r.kinds.overstated(j); ok {
+		e.Reasons = append(e.Reasons, fmt.Sprintf(
+			"tasks of its kind use about %.0f%% of the processors that its document asks for", 100*share))
+	}
 	if len(r.reserve.of(j.spec.ID)) > 0 {
 		e.Reasons = append(e.Reasons, "room is being gathered for it")
 	}
