Let a job cross regions before it is refused for its wait

Cause: admission refused a job whose expected wait exceeded its start limit before it was asked whether another region could start it in time, so no job ever crossed. The bytes sent over paid links were not counted. Change: routing comes before the bound on waiting; the payload of a job that crosses regions is counted by team and kind. Before: TestJobCrossesToKeepItsStartDeadline fails. After: it passes.

--- a/core/effect.go
+++ b/core/effect.go
@@ -233,6 +233,7 @@
 	MetricWorkerLost  Metric = "banyanrun_workers_lost_total"
 	MetricJournal     Metric = "banyanrun_journal_groups_total"
 	MetricForwarded   Metric = "banyanrun_forwarded_total"
+	MetricLinkBytes   Metric = "banyanrun_region_link_bytes_total"
 )
 
 // The gauge families that the reducer sets.
--- a/core/route.go
+++ b/core/route.go
@@ -67,12 +67,22 @@
 		if r.worthMoving(kind, m, here, there) {
 			r.move(s, kind, m.summary.DataCentre)
 			r.count(MetricForwarded, "", s.Spec.Team, s.Spec.Kind)
+			r.chargeLink(s, m)
 			return true
 		}
 	}
 	return false
 }
 
+// chargeLink counts what a job sends over a link that is paid for.
+func (r *Reducer) chargeLink(s Submitted, m *remote) {
+	if m.summary.Region != r.cfg.Region {
+		r.emit(Count{
+			Metric: MetricLinkBytes, Team: s.Spec.Team, Kind: s.Spec.Kind, Add: len(s.Spec.Payload),
+		})
+	}
+}
+
 // worthMoving compares the wait here with the wait there.
 func (r *Reducer) worthMoving(kind *Kind, m *remote, here, there time.Duration) bool {
 	if m.summary.Region == r.cfg.Region {
--- a/core/submit.go
+++ b/core/submit.go
@@ -31,6 +31,10 @@
 	if !s.Forwarded && !r.fromOther(&s.Spec) && r.sendElsewhere(s, kind) {
 		return
 	}
+	if ref := r.admitQueue(r.docs.team(s.Spec.Team), kind); ref != nil {
+		r.refuse(s.Request, ref, s.Spec.Team, s.Spec.Kind)
+		return
+	}
 	j := r.newJob(s.Spec, kind)
 	j.submitters = []RequestID{s.Request}
 	r.jobs.add(j)
@@ -78,10 +82,7 @@
 	case r.owner.role == roleStandby:
 		return nil, withoutJournal()
 	}
-	if ref := r.admitSize(kind); ref != nil {
-		return nil, ref
-	}
-	return kind, r.admitQueue(t, kind)
+	return kind, r.admitSize(kind)
 }
 
 // withoutJournal is the refusal of a standby, which cannot read the journal. The
