Forget the queues of a team when the cell's state is dropped

Cause: teams kept their queues of an earlier epoch. Change: dropping the state of the cell drops them too. Before: TestQueuesOfAnEarlierEpochAreForgotten crashes. After: it passes.

--- a/core/owner_test.go
+++ b/core/owner_test.go
@@ -169,3 +169,19 @@
 		})
 	}
 }
+
+// TestQueuesOfAnEarlierEpochAreForgotten guards against heads that are computed
+// from queues of before a step down. A host that became owner again crashed on them.
+func TestQueuesOfAnEarlierEpochAreForgotten(t *testing.T) {
+	o := newTestOwner(t)
+	kind := o.docs.kind("red", "billed")
+	o.queues.push(o.newJob(JobSpec{ID: "old", Team: "red", Kind: "billed"}, kind))
+	o.step(Tick{})
+	o.stepDown(ReasonStaleEpoch)
+	o.owner.role, o.owner.epoch = roleOwner, 2*epochStep
+	o.fleet.charge(o.docs.team("red"), Resources{Slots: 1}, 1)
+	o.step(Continue{})
+	if n := len(o.queues.busy); n != 0 {
+		t.Errorf("%d queues have jobs, want none", n)
+	}
+}
--- a/core/ownership.go
+++ b/core/ownership.go
@@ -423,7 +423,7 @@
 	r.grants = newGrantTable()
 	r.held, r.throttledTasks, r.resignal, r.resuming = nil, nil, nil, false
 	for _, t := range r.docs.teams {
-		t.used, t.queued = Resources{}, 0
+		t.used, t.queued, t.queues = Resources{}, 0, nil
 	}
 	r.fleet.forget()
 	// The kinds stay known: calls wait for the next owner's grants.
