Never start a job twice whose worker has restarted

Cause: a successor overwrote the worker's incarnation of a journaled start with the one it knew itself, so an empty ledger after a restart counted as proof that the job had not run. And a start with a lost answer was sent again to a worker that might have restarted, or was leaving, meanwhile. Change: the journaled incarnation is kept; a start in doubt of non-idempotent work, or at a leaving worker, is settled by asking the worker for its whole ledger once it refuses every copy that is under way.

--- a/core/fleet.go
+++ b/core/fleet.go
@@ -30,7 +30,9 @@
 	lost        bool
 	incarnation uint64
 	since       uint64
-	placements  map[taskKey]placement
+	// askAll has the next sync ask for the whole ledger.
+	askAll     bool
+	placements map[taskKey]placement
 	// orphans are tasks that run there but belong to no known job.
 	orphans map[TaskRef]Resources
 	health  workerHealth
--- a/core/job.go
+++ b/core/job.go
@@ -105,6 +105,8 @@
 	sent     Time
 	doubtful bool
 	doubtAt  Time
+	// asking is set until the worker is asked for its whole ledger.
+	asking bool
 	// resend is when the start is sent again, or zero.
 	resend    Time
 	started   Time
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -60,11 +60,32 @@
 			r.jobs.resend = append(r.jobs.resend, key)
 		default:
 			t.resend = 0
-			r.sendStart(j, t)
+			r.settleDoubt(j, t)
 		}
 	}
 }
 
+// settleDoubt finds out whether a start with a lost answer has run. The same
+// attempt may be sent again only while a second start does no harm: a worker that
+// has restarted meanwhile does not know the first one. Otherwise the worker is asked
+// for its whole ledger, at a time when it refuses every copy that is still under
+// way.
+func (r *Reducer) settleDoubt(j *job, t *task) {
+	w := r.fleet.get(t.worker)
+	if w == nil {
+		return
+	}
+	if (j.kind.Idempotent || j.service != "") && !w.leaving {
+		r.sendStart(j, t)
+		return
+	}
+	if since := t.sent; r.now.Sub(since) < startWindow+startResend {
+		r.resendAt(j, t, since.Add(startWindow+startResend))
+		return
+	}
+	t.asking, w.askAll = true, true
+}
+
 // findTask returns the task that ref names if its attempt is the current one.
 func (r *Reducer) findTask(ref TaskRef) (*job, *task) {
 	j := r.jobs.get(ref.Job)
@@ -107,7 +128,7 @@
 // releaseTask returns what a task holds and sets its state.
 func (r *Reducer) releaseTask(j *job, t *task, state taskState) {
 	r.fleet.unassign(j, t)
-	t.state, t.worker, t.doubtful, t.resend, t.stopping = state, "", false, 0, false
+	t.state, t.worker, t.doubtful, t.asking, t.resend, t.stopping = state, "", false, false, 0, false
 }
 
 // hasTaskIn reports whether any task of j is in the state.
--- a/core/recovery.go
+++ b/core/recovery.go
@@ -184,7 +184,11 @@
 				r.taskLost(j, t)
 				continue
 			}
+			// The journal says in which incarnation of the worker it may have
+			// started; this host may have seen a later one, or none.
+			started := t.incarnation
 			r.fleet.assign(w, j, t, j.kind.Request)
+			t.incarnation = started
 		}
 	}
 }
--- a/core/sync.go
+++ b/core/sync.go
@@ -41,6 +41,9 @@
 	} else {
 		s.renewed = r.now
 	}
+	if w.askAll {
+		r.askForLedger(w)
+	}
 	wait := r.cfg.SyncWait
 	if !w.fenced || suspect {
 		wait = 0
@@ -51,6 +54,17 @@
 	})
 }
 
+// askForLedger has the sync that is about to be sent ask for everything. Tasks in
+// doubt that its answer does not name have not run, see settleAbsent.
+func (r *Reducer) askForLedger(w *worker) {
+	w.askAll, w.since = false, 0
+	for _, p := range w.placements { // the order does not matter
+		if p.task.asking {
+			p.task.asking, p.task.sent = false, 0
+		}
+	}
+}
+
 // isolated reports whether this owner must fear that another host has taken over
 // without its hearing of it. It then lets task leases lapse. In an outage of the
 // store alone its peers are still heard and work goes on.
