Let a start begin at most 2 s after its decision

Change: the latest start time is 2 s after the decision; the list is read each second, so together they stay within the bound of 3 s.

--- a/core/schedule.go
+++ b/core/schedule.go
@@ -7,8 +7,10 @@
 	// it in the mailbox is not held up; the rest follows in the next step.
 	placementsPerStep = 64
 	// startWindow is how long a worker may take a start. Later the worker
-	// refuses it, which is a true "not run".
-	startWindow = 10 * time.Second
+	// refuses it, which is a true "not run". A worker that is listed as leaving
+	// must get no new work after 3 s, and the list is read each second, so a
+	// start that was decided before must not begin more than 2 s later.
+	startWindow = 2 * time.Second
 	// backfillPercentile of the run times seen must fit before the room that
 	// is gathered for another job is expected.
 	backfillPercentile = 95
