Spend the retry budget of calls on retries alone

Cause: every failed attempt took a retry from the budget, also a refusal for a stale epoch and a call that was not tried again. A takeover could so use up the budget of a kind. Found by reading. Change: the plan of a call spends the budget when it decides on a retry.

--- a/core/callplan.go
+++ b/core/callplan.go
@@ -54,8 +54,9 @@
 	Worker  WorkerID
 	Verdict Verdict
 	Reason  Reason
-	// BudgetLeft is set when the kind's retry budget allows another attempt.
-	BudgetLeft bool
+	// SpendRetry takes one retry from the kind's budget and reports whether there
+	// was room for it. It is called only for a retry that is allowed otherwise.
+	SpendRetry func() bool
 	// Jitter is a random number from 0 up to 1.
 	Jitter float64
 }
@@ -106,7 +107,7 @@
 		return p.refuse(ReasonDeadline, "no answer within the deadline")
 	case p.tries >= max(1, p.Rules.MaxAttempts):
 		return p.refuse(ReasonAttempts, "no attempt was answered")
-	case !stale && !a.BudgetLeft:
+	case !stale && !a.SpendRetry():
 		return p.refuse(ReasonRetryBudget, "the retry budget of the kind is used up")
 	}
 	return p.try(wait)
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -154,7 +154,7 @@
 	}
 	return nil, core.AttemptResult{
 		Worker: t.Worker, Verdict: err.Verdict, Reason: err.Reason,
-		BudgetLeft: d.grants.SpendRetry(c.Team, c.Kind), Jitter: rand.Float64(),
+		SpendRetry: func() bool { return d.grants.SpendRetry(c.Team, c.Kind) }, Jitter: rand.Float64(),
 	}
 }
 
--- a/virtual/traffic.go
+++ b/virtual/traffic.go
@@ -183,7 +183,7 @@
 		}
 		run.next(run.plan.Failed(h.c.now, core.AttemptResult{
 			Worker: t.Worker, Verdict: e.verdict, Reason: e.reason,
-			BudgetLeft: h.traffic.pool.SpendRetry(t.Team, t.Kind), Jitter: h.c.rng.Float64(),
+			SpendRetry: func() bool { return h.traffic.pool.SpendRetry(t.Team, t.Kind) }, Jitter: h.c.rng.Float64(),
 		}))
 	})
 }
