Move the client of the product's own store to storeclient

Cause: the folder platform/ becomes the adapter to the users' platform, whose store speaks another protocol. The client of the protocol that our own stand-in serves keeps its behaviour under a name that says what it is.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,7 +17,7 @@
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/grant"
 	"banyanrun.example/banyanrun/keys"
-	"banyanrun.example/banyanrun/platform"
+	"banyanrun.example/banyanrun/storeclient"
 	"banyanrun.example/banyanrun/upstream"
 )
 
@@ -51,8 +51,8 @@
 	log     zerolog.Logger
 	lines   logLines
 	clock   clock
-	store   platform.Store
-	hosts   platform.HostLister
+	store   storeclient.Store
+	hosts   storeclient.HostLister
 	workers *upstream.Client
 	peers   *http.Client
 	loop    *control.Loop[core.Event, core.Effect]
@@ -96,7 +96,7 @@
 		return nil, err
 	}
 	started := time.Now()
-	client := platform.New(platform.Config{Address: set.Platform, CallTimeout: set.StoreTimeout})
+	client := storeclient.New(storeclient.Config{Address: set.Platform, CallTimeout: set.StoreTimeout})
 	d := &Daemon{
 		set: set, log: log, clock: clock{started}, store: client, hosts: client,
 		workers: upstream.New(upstream.Config{
--- a/entry/execute.go
+++ b/entry/execute.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"banyanrun.example/banyanrun/core"
-	"banyanrun.example/banyanrun/platform"
+	"banyanrun.example/banyanrun/storeclient"
 	"banyanrun.example/banyanrun/upstream"
 	"banyanrun.example/banyanrun/wire"
 )
@@ -97,16 +97,16 @@
 	data, err := wire.EncodeValue(f.Value)
 	if err != nil {
 		d.logFailure("value cannot be encoded", err, "key", f.Key)
-		d.answerStore(ctx, f.Op, platform.Result{Outcome: core.StoreNotSent, Err: err})
+		d.answerStore(ctx, f.Op, storeclient.Result{Outcome: core.StoreNotSent, Err: err})
 		return
 	}
-	d.answerStore(ctx, f.Op, d.store.Put(ctx, platform.Write{
+	d.answerStore(ctx, f.Op, d.store.Put(ctx, storeclient.Write{
 		Key: f.Key, Value: data, IfRevision: f.IfRevision, Lease: f.Lease,
 	}))
 }
 
 // answerStore decodes a result and posts it.
-func (d *Daemon) answerStore(ctx context.Context, op core.StoreOp, res platform.Result) {
+func (d *Daemon) answerStore(ctx context.Context, op core.StoreOp, res storeclient.Result) {
 	d.countStore(op, res.Outcome)
 	a := core.StoreAnswered{Op: op, Outcome: res.Outcome, Revision: res.Revision}
 	for _, item := range res.Items {
@@ -125,7 +125,7 @@
 }
 
 // answerLease posts the result of a call on a lease.
-func (d *Daemon) answerLease(ctx context.Context, op core.StoreOp, res platform.LeaseResult) {
+func (d *Daemon) answerLease(ctx context.Context, op core.StoreOp, res storeclient.LeaseResult) {
 	d.countStore(op, res.Outcome)
 	d.post(ctx, core.StoreAnswered{Op: op, Outcome: res.Outcome, Lease: res.Lease})
 }
--- a/entry/operationspage_test.go
+++ b/entry/operationspage_test.go
@@ -18,7 +18,7 @@
 
 	"banyanrun.example/banyanrun/control"
 	"banyanrun.example/banyanrun/core"
-	"banyanrun.example/banyanrun/platform"
+	"banyanrun.example/banyanrun/storeclient"
 	"banyanrun.example/banyanrun/wire"
 )
 
@@ -114,7 +114,7 @@
 // told.
 func TestUnreadableValuesAreCounted(t *testing.T) {
 	d := bareDaemon()
-	d.answerStore(context.Background(), core.StoreOp{Purpose: core.PurposeJournalLoad}, platform.Result{
+	d.answerStore(context.Background(), core.StoreOp{Purpose: core.PurposeJournalLoad}, storeclient.Result{
 		Items: []wire.Item{{Key: "cells/a/journal/1", Value: []byte(`{"version":2}`)}},
 	})
 	if text := metricsText(d); !strings.Contains(text, `banyanrun_store_unreadable_total{purpose="journal_load"} 1`) {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -6,9 +6,9 @@
 	"testing"
 	"time"
 
-	"banyanrun.example/banyanrun/platform"
 	"banyanrun.example/banyanrun/standin"
 	"banyanrun.example/banyanrun/standin/worker"
+	"banyanrun.example/banyanrun/storeclient"
 	"banyanrun.example/banyanrun/upstream"
 	"banyanrun.example/banyanrun/wire"
 )
@@ -84,7 +84,7 @@
 			t.Errorf("%s %s: status %d, want %d", c.path, c.body, answer.StatusCode, c.status)
 		}
 	}
-	client := platform.New(platform.Config{Address: s.StoreAddress(), CallTimeout: time.Minute})
+	client := storeclient.New(storeclient.Config{Address: s.StoreAddress(), CallTimeout: time.Minute})
 	defer client.Close()
 	list := client.Hosts(t.Context())
 	if len(list.Hosts) != 1 || !list.Hosts[0].Leaving || !list.Workers[0].Leaving || list.Workers[1].Leaving {
--- a/platform/http_test.go
+++ b/storeclient/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storeclient_test
 
 import (
 	"net"
@@ -9,9 +9,9 @@
 
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/internal/testaddr"
-	"banyanrun.example/banyanrun/platform"
 	"banyanrun.example/banyanrun/standin"
 	"banyanrun.example/banyanrun/standin/store"
+	"banyanrun.example/banyanrun/storeclient"
 	"banyanrun.example/banyanrun/wire"
 )
 
@@ -21,14 +21,14 @@
 // hangTimeout bounds the call to a hanging store.
 const hangTimeout = 2 * time.Second
 
-func startStore(t *testing.T, limits store.Limits) (*standin.Server, *platform.Client) {
+func startStore(t *testing.T, limits store.Limits) (*standin.Server, *storeclient.Client) {
 	t.Helper()
 	s, err := standin.Start(standin.Config{Topology: standin.DefaultTopology(), Limits: limits})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
-	c := platform.New(platform.Config{Address: s.StoreAddress(), CallTimeout: callTimeout})
+	c := storeclient.New(storeclient.Config{Address: s.StoreAddress(), CallTimeout: callTimeout})
 	t.Cleanup(c.Close)
 	return s, c
 }
@@ -40,7 +40,7 @@
 	}
 }
 
-func wantOutcome(t *testing.T, what string, got platform.Result, want core.StoreOutcome) {
+func wantOutcome(t *testing.T, what string, got storeclient.Result, want core.StoreOutcome) {
 	t.Helper()
 	if got.Outcome != want || (got.Err == nil) != (want == core.StoreOK) {
 		t.Fatalf("%s: outcome %d, error %v; want outcome %d", what, got.Outcome, got.Err, want)
@@ -53,19 +53,19 @@
 	s, c := startStore(t, store.Limits{})
 	ctx := t.Context()
 	const key = "documents/a b?c%2F#d"
-	put := c.Put(ctx, platform.Write{Key: key, Value: []byte{0, 255}})
+	put := c.Put(ctx, storeclient.Write{Key: key, Value: []byte{0, 255}})
 	wantOutcome(t, "put", put, core.StoreOK)
 	got := c.Get(ctx, key)
 	wantOutcome(t, "get", got, core.StoreOK)
 	if got.Items[0].Key != key || string(got.Items[0].Value) != "\x00\xff" || got.Revision != put.Revision {
 		t.Errorf("got %+v", got)
 	}
-	conflict := c.Put(ctx, platform.Write{Key: key, IfRevision: put.Revision + 1})
+	conflict := c.Put(ctx, storeclient.Write{Key: key, IfRevision: put.Revision + 1})
 	wantOutcome(t, "put with a wrong revision", conflict, core.StoreConflict)
 	if len(conflict.Items) != 1 || conflict.Revision != put.Revision {
 		t.Errorf("conflict shows %+v", conflict)
 	}
-	absent := c.Put(ctx, platform.Write{Key: "absent", IfRevision: 1})
+	absent := c.Put(ctx, storeclient.Write{Key: "absent", IfRevision: 1})
 	wantOutcome(t, "put of an absent key", absent, core.StoreConflict)
 	if len(absent.Items) != 0 {
 		t.Errorf("conflict on an absent key shows %+v", absent)
@@ -73,8 +73,8 @@
 	wantOutcome(t, "watch with a change", c.Watch(ctx, "documents/", 0, time.Minute), core.StoreOK)
 	wantOutcome(t, "delete", c.Delete(ctx, []string{key}), core.StoreOK)
 	wantOutcome(t, "get of an absent key", c.Get(ctx, key), core.StoreNotFound)
-	wantOutcome(t, "too large a value", c.Put(ctx, platform.Write{Key: "big", Value: make([]byte, wire.MaxValueBytes+1)}), core.StoreNotSent)
-	wantOutcome(t, "the largest value", c.Put(ctx, platform.Write{Key: "big", Value: make([]byte, wire.MaxValueBytes)}), core.StoreOK)
+	wantOutcome(t, "too large a value", c.Put(ctx, storeclient.Write{Key: "big", Value: make([]byte, wire.MaxValueBytes+1)}), core.StoreNotSent)
+	wantOutcome(t, "the largest value", c.Put(ctx, storeclient.Write{Key: "big", Value: make([]byte, wire.MaxValueBytes)}), core.StoreOK)
 	if list := c.List(ctx, "b"); len(list.Items) != 1 || list.Revision < put.Revision {
 		t.Errorf("list: outcome %d, %d items", list.Outcome, len(list.Items))
 	}
@@ -92,7 +92,7 @@
 	if lease.Outcome != core.StoreOK || lease.TimeToLive != time.Minute {
 		t.Fatalf("grant: %+v", lease)
 	}
-	wantOutcome(t, "put", c.Put(ctx, platform.Write{Key: "k", Lease: lease.Lease}), core.StoreOK)
+	wantOutcome(t, "put", c.Put(ctx, storeclient.Write{Key: "k", Lease: lease.Lease}), core.StoreOK)
 	if got := c.RenewLease(ctx, lease.Lease); got.Outcome != core.StoreOK {
 		t.Errorf("renew: %+v", got)
 	}
@@ -109,7 +109,7 @@
 func TestLostAnswerLeavesTheWriteInDoubt(t *testing.T) {
 	s, c := startStore(t, store.Limits{})
 	setFaults(t, s, store.Faults{LoseNext: 1})
-	wantOutcome(t, "put", c.Put(t.Context(), platform.Write{Key: "k", Value: []byte("v")}), core.StoreInDoubt)
+	wantOutcome(t, "put", c.Put(t.Context(), storeclient.Write{Key: "k", Value: []byte("v")}), core.StoreInDoubt)
 	got := c.Get(t.Context(), "k")
 	wantOutcome(t, "read back", got, core.StoreOK)
 	if string(got.Items[0].Value) != "v" {
@@ -123,14 +123,14 @@
 // Guards against outcomes that promise too much or too little in an outage.
 func TestOutcomesInAnOutage(t *testing.T) {
 	s, c := startStore(t, store.Limits{Writes: 1})
-	w := platform.Write{Key: "k"}
+	w := storeclient.Write{Key: "k"}
 	setFaults(t, s, store.Faults{Outage: store.OutageRefuse})
 	wantOutcome(t, "status 503", c.Put(t.Context(), w), core.StoreNotSent)
 	setFaults(t, s, store.Faults{Outage: store.OutageHang})
-	hasty := platform.New(platform.Config{Address: s.StoreAddress(), CallTimeout: hangTimeout})
+	hasty := storeclient.New(storeclient.Config{Address: s.StoreAddress(), CallTimeout: hangTimeout})
 	defer hasty.Close()
 	wantOutcome(t, "no answer", hasty.Put(t.Context(), w), core.StoreInDoubt)
-	refused := platform.New(platform.Config{Address: testaddr.Refusing(t), CallTimeout: time.Minute})
+	refused := storeclient.New(storeclient.Config{Address: testaddr.Refusing(t), CallTimeout: time.Minute})
 	defer refused.Close()
 	wantOutcome(t, "refused connection", refused.Put(t.Context(), w), core.StoreNotSent)
 }
@@ -154,9 +154,9 @@
 				_, _ = w.Write([]byte(c.body))
 			}))
 			defer server.Close()
-			client := platform.New(platform.Config{Address: server.Listener.Addr().String(), CallTimeout: callTimeout})
+			client := storeclient.New(storeclient.Config{Address: server.Listener.Addr().String(), CallTimeout: callTimeout})
 			defer client.Close()
-			wantOutcome(t, c.name, client.Put(t.Context(), platform.Write{Key: "k"}), c.want)
+			wantOutcome(t, c.name, client.Put(t.Context(), storeclient.Write{Key: "k"}), c.want)
 		})
 	}
 }
@@ -168,7 +168,7 @@
 		t.Fatal(err)
 	}
 	l.Close()
-	c := platform.New(platform.Config{Address: l.Addr().String(), CallTimeout: callTimeout})
+	c := storeclient.New(storeclient.Config{Address: l.Addr().String(), CallTimeout: callTimeout})
 	if got := c.GrantLease(t.Context(), time.Second); got.Outcome != core.StoreNotSent {
 		t.Errorf("grant: %+v", got)
 	}
--- a/platform/platform.go
+++ b/storeclient/storeclient.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's store, leases, watches and
+// Package storeclient is the client of the platform's store, leases, watches and
 // host list. Every result says what is known about the effect of its call.
-package platform
+package storeclient
 
 import (
 	"context"
