--- a/host/execute.go
+++ b/host/execute.go
@@ -38,6 +38,9 @@
 // execute carries out one effect and posts its result.
 func (d *Daemon) execute(ctx context.Context, e scheduler.Effect) {
 	switch e := e.(type) {
+	case scheduler.Wake:
+		pause(ctx, e.After)
+		d.post(ctx, scheduler.Woken{})
 	case scheduler.Forward:
 		d.post(ctx, d.forward(ctx, e))
 	case scheduler.Hello:
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -23,6 +23,10 @@
 	timed []*occurrence
 	held  map[WorkerID]bool
 	dirty bool
+	// largest is the largest amount of each resource that is free on a worker.
+	largest    Resources
+	lastPass   Time
+	passWanted bool
 
 	// inheritedDead is when no order of an earlier owner can have any effect on
 	// a worker that has not answered to this one. inheritedSettled means that
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -204,6 +204,12 @@
 	Address string
 }
 
+// Wake asks for an event Woken after a time.
+type Wake struct {
+	effect
+	After time.Duration
+}
+
 // Ready says whether this host takes new callers.
 type Ready struct {
 	effect
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -32,6 +32,9 @@
 // Tick lets time pass.
 type Tick struct{ event }
 
+// Woken is the answer to Wake.
+type Woken struct{ event }
+
 // ConfigChanged is the newest configuration that the store holds.
 type ConfigChanged struct {
 	event
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -8,6 +8,9 @@
 const (
 	// maxExamined bounds the stages that one pass looks at.
 	maxExamined = 300
+	// passInterval is the least time between two passes. Under load it lets
+	// several events share one pass; a job waits this long at most.
+	passInterval = 8 * msec
 	// maxGathering is the number of gangs for which workers are kept free at a
 	// time. More would leave too much of the cell idle.
 	maxGathering = 2
@@ -18,7 +21,14 @@
 	if !c.dirty || !c.mayStart() {
 		return
 	}
-	c.dirty = false
+	if wait := passInterval - c.now.Sub(c.lastPass); wait > 0 {
+		if !c.passWanted {
+			c.passWanted = true
+			c.emit(Wake{After: wait})
+		}
+		return
+	}
+	c.dirty, c.passWanted, c.lastPass = false, false, c.now
 	clear(c.held)
 	c.refreshFleet()
 	gathering, examined := 0, 0
@@ -29,6 +39,10 @@
 			continue
 		}
 		examined++
+		if !c.largest.fits(s.step.charge()) {
+			keep = append(keep, s)
+			continue
+		}
 		if examined <= maxExamined && c.mayRestart(s) {
 			if s.step.Gang {
 				if !c.placeGang(s) && gathering < maxGathering && c.gather(s) {
@@ -60,9 +74,14 @@
 // workers.
 func (c *cell) refreshFleet() {
 	c.fleet = c.fleet[:0]
+	c.largest = Resources{}
 	for _, id := range c.workerOrder() {
 		if w := c.workers[id]; w.listed && w.contacted {
 			c.fleet = append(c.fleet, w)
+			free := w.free()
+			c.largest.MilliCPU = max(c.largest.MilliCPU, free.MilliCPU)
+			c.largest.MemoryMB = max(c.largest.MemoryMB, free.MemoryMB)
+			c.largest.Accelerators = max(c.largest.Accelerators, free.Accelerators)
 		}
 	}
 	slices.SortStableFunc(c.fleet, func(a, b *worker) int {
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -116,6 +116,8 @@
 // handle dispatches an event that only an owner can use.
 func (c *cell) handle(e Event) {
 	switch e := e.(type) {
+	case Woken:
+		c.passWanted = false
 	case GroupWritten:
 		c.groupWritten(e)
 	case GroupsDeleted:
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -187,8 +187,8 @@
 	if !late && !noOwner {
 		return false
 	}
-	if _, ok := q.event.(SubmitReceived); ok && q.atCell != nil {
-		// The write of the job is on its way.
+	if _, ok := q.event.(SubmitReceived); ok && (q.atCell != nil || q.inFlight) {
+		// The job, or the write of it, is on its way.
 		q.mayHaveRun = true
 	}
 	reason := ReasonNoOwner
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -68,8 +68,8 @@
 	if e.Result != OrderAccepted {
 		c.decide(Decision{Kind: "start", Outcome: e.Result.String(), Job: e.Task.Job, Task: e.Task.String(),
 			Worker: e.Worker, Run: e.Run, Fields: []Field{{"took_ms", c.now.Sub(r.ordered).Milliseconds()}}})
+		c.dirty = true
 	}
-	c.dirty = true
 	switch e.Result {
 	case OrderAccepted:
 		r.settled = c.now
@@ -219,21 +219,27 @@
 	if kind == EndLost && checkpoint == "" {
 		checkpoint = r.checkpoint
 	}
+	t.detach(r)
 	c.taskEnded(t, r.number, kind, checkpoint, r.worker)
 	c.runGone(r)
 }
 
+// detach takes a run off its task.
+func (t *task) detach(r *run) {
+	if t.run == r {
+		t.run, t.copy = t.copy, nil
+	} else if t.copy == r {
+		t.copy = nil
+	}
+}
+
 // runGone detaches a run from its task. A task that was not done waits again.
 func (c *cell) runGone(r *run) {
 	t := r.task
 	if t == nil {
 		return
 	}
-	if t.run == r {
-		t.run, t.copy = t.copy, nil
-	} else if t.copy == r {
-		t.copy = nil
-	}
+	t.detach(r)
 	if t.state == taskAssigned && t.run == nil {
 		t.state = taskWaiting
 		t.stage.waiting++
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -363,8 +363,8 @@
 		c.decide(Decision{Kind: "worker", Outcome: "contacted", Worker: w.info.ID,
 			Fields: []Field{{"active", int64(len(e.Active))}, {"ended", int64(len(e.Ended))}, {"generation", c.generation}}})
 		c.settleInherited()
+		c.dirty = true
 	}
-	c.dirty = true
 	if !w.hold.inFlight && c.needsHold(w) && c.mayHold() {
 		c.sendHold(w)
 	}
