--- /dev/null
+++ b/scheduler/promises_test.go
@@ -0,0 +1,264 @@
+package scheduler
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// load hands in a mix of jobs for a time.
+func (w *world) load(d time.Duration, perSecond float64) {
+	n := 0
+	var next func()
+	end := w.now.Add(d)
+	next = func() {
+		if w.now >= end {
+			return
+		}
+		n++
+		id := JobID(fmt.Sprintf("%016x", n))
+		queue, spec := w.randomJob()
+		w.submit(id, queue, spec, 5)
+		if w.rng.Float64() < 0.08 {
+			w.at(time.Duration(w.rng.IntN(3000))*msec, func() {
+				if j := w.jobs[id]; j.accepted {
+					w.cancelJob(j)
+				}
+			})
+		}
+		w.at(time.Duration(w.rng.ExpFloat64()/perSecond*1e9), next)
+	}
+	w.at(0, next)
+}
+
+// randomJob draws a job of one of the three kinds.
+func (w *world) randomJob() (QueueName, JobSpec) {
+	duration := func(mean int) time.Duration { return time.Duration(mean/2+w.rng.IntN(mean)) * msec }
+	need := func(cpu int64) Resources { return Resources{MilliCPU: cpu, MemoryMB: 500} }
+	switch w.rng.IntN(10) {
+	case 0:
+		return "gangs", JobSpec{Payload: "g", Steps: []Step{{Count: 2 + w.rng.IntN(5), Need: need(2500), Estimate: duration(3000), Gang: true}}}
+	case 1, 2:
+		steps := []Step{{Count: 1 + w.rng.IntN(8), Need: need(900), Estimate: duration(1500), MaxPerWorker: w.rng.IntN(3)}}
+		if w.rng.IntN(2) == 0 {
+			steps = append(steps, Step{Count: 1 + w.rng.IntN(4), Need: need(900), Estimate: duration(1000), After: []int{0}})
+		}
+		return "batch", JobSpec{Payload: "b", Steps: steps}
+	}
+	return "urgent", JobSpec{Payload: "u", Steps: []Step{{Count: 1 + w.rng.IntN(3), Need: need(1200), Estimate: duration(800)}}}
+}
+
+// settleTime is the longest time after the last trouble in which every accepted
+// job has to end: the time after which a silent worker counts as gone, attempts
+// that fail, and the work itself.
+const settleTime = 60 * time.Second
+
+// check plays the world to its end and reports what was broken.
+func (w *world) check(t *testing.T, d time.Duration) {
+	t.Helper()
+	w.run(d + settleTime)
+	open := 0
+	for _, j := range w.jobs {
+		if j.accepted && !j.complete && !j.cancelSent {
+			open++
+			w.break_("job %s of queue %s was accepted and has not ended", j.id, j.queue)
+		}
+	}
+	if w.owner() == nil {
+		w.break_("nobody owns the cell")
+	}
+	if len(w.broken) > 0 {
+		if w.debug {
+			t.Log(strings.Join(w.lines, "\n"))
+		}
+		t.Fatalf("%d jobs, %d open; broken:\n%s", len(w.jobs), open, strings.Join(w.broken[:min(len(w.broken), 10)], "\n"))
+	}
+}
+
+// seeds returns the seeds to play: a few, or as many as SCHEDULER_SEEDS says.
+func seeds(t *testing.T) []uint64 {
+	first, n := uint64(1), 6
+	if v := os.Getenv("SCHEDULER_SEED"); v != "" {
+		s, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return []uint64{s}
+	}
+	if v := os.Getenv("SCHEDULER_SEEDS"); v != "" {
+		var err error
+		if n, err = strconv.Atoi(v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var list []uint64
+	for i := range uint64(n) {
+		list = append(list, first+i)
+	}
+	return list
+}
+
+// play plays a scenario with each seed.
+func play(t *testing.T, scenario func(w *world)) {
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := newWorld(t, seed, 4, 8)
+			w.debug = os.Getenv("SCHEDULER_DEBUG") != ""
+			w.faults.failure = 0.03
+			scenario(w)
+			w.load(20*time.Second, 4)
+			w.check(t, 20*time.Second)
+		})
+	}
+}
+
+// TestCalmDay guards against jobs that are lost or done twice without any trouble.
+func TestCalmDay(t *testing.T) { play(t, func(*world) {}) }
+
+// TestAnswersLost guards against second starts of tasks whose start was carried
+// out and not answered.
+func TestAnswersLost(t *testing.T) {
+	play(t, func(w *world) { w.faults.loseAnswer = 0.1 })
+}
+
+// TestOrdersCarriedOutLate guards against second starts by orders that a worker
+// carries out seconds after they were given up.
+func TestOrdersCarriedOutLate(t *testing.T) {
+	play(t, func(w *world) { w.faults.lateOrder = 0.1 })
+}
+
+// TestOwnersKilled guards against jobs that are lost or done twice in a takeover.
+func TestOwnersKilled(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 4 {
+			w.at(time.Duration(4+4*i)*time.Second+time.Duration(w.rng.IntN(2000))*msec, func() {
+				if h := w.owner(); h != nil {
+					w.kill(h)
+					w.at(time.Duration(w.rng.IntN(4000))*msec, func() { w.startHost(h) })
+				}
+			})
+		}
+	})
+}
+
+// TestAllHostsKilled guards against state that only the hosts' memory held.
+func TestAllHostsKilled(t *testing.T) {
+	play(t, func(w *world) {
+		w.at(9*time.Second+time.Duration(w.rng.IntN(3000))*msec, func() {
+			for _, h := range w.hosts {
+				w.kill(h)
+				w.at(time.Duration(500+w.rng.IntN(2000))*msec, func() { w.startHost(h) })
+			}
+		})
+	})
+}
+
+// TestStoreOutages guards against decisions of an owner that cannot know whether
+// it still is the owner.
+func TestStoreOutages(t *testing.T) {
+	play(t, func(w *world) {
+		first := w.now.Add(time.Duration(3000+w.rng.IntN(3000)) * msec)
+		second := first.Add(8 * time.Second)
+		w.faults.loseWrite = 0.1
+		w.faults.storeDown = func(at Time) bool {
+			return at >= first && at < first.Add(5*time.Second) || at >= second && at < second.Add(time.Second)
+		}
+	})
+}
+
+// TestOwnerCutFromTheStore guards against two owners that both start tasks.
+func TestOwnerCutFromTheStore(t *testing.T) {
+	play(t, func(w *world) {
+		cut := -1
+		w.faults.hostCut = func(host int, _ Time) bool { return host == cut }
+		for i := range 2 {
+			w.at(time.Duration(4+8*i)*time.Second, func() {
+				if h := w.owner(); h != nil {
+					cut = h.index
+				}
+			})
+			w.at(time.Duration(9+8*i)*time.Second, func() { cut = -1 })
+		}
+	})
+}
+
+// TestWorkersCrash guards against tasks that are lost with their worker, and
+// against ends of an earlier life that count for the new one.
+func TestWorkersCrash(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 6 {
+			w.at(time.Duration(2+3*i)*time.Second, func() { w.crashWorker() })
+		}
+	})
+}
+
+// crashWorker crashes a random worker, which comes back under the same id.
+func (w *world) crashWorker() {
+	fw := w.workers[w.workerIDs()[w.rng.IntN(len(w.workers))]]
+	if !fw.up {
+		return
+	}
+	fw.crash()
+	w.at(time.Duration(500+w.rng.IntN(6000))*msec, func() {
+		fw.restart(w)
+		for _, h := range w.hosts {
+			info, life := fw.info, h.life
+			w.at(time.Duration(w.rng.IntN(1500))*msec, func() { w.post(h, life, WorkerChanged{Worker: info}) })
+		}
+	})
+}
+
+// TestWorkersCutOff guards against second runs of tasks that go on behind a cut.
+func TestWorkersCutOff(t *testing.T) {
+	play(t, func(w *world) {
+		until := map[WorkerID]Time{}
+		w.faults.workerCut = func(id WorkerID, at Time) bool { return at < until[id] }
+		for i := range 6 {
+			w.at(time.Duration(2+3*i)*time.Second, func() {
+				id := w.workerIDs()[w.rng.IntN(len(w.workers))]
+				until[id] = w.now.Add(time.Duration(1000+w.rng.IntN(9000)) * msec)
+			})
+		}
+	})
+}
+
+// TestTroublesTogether guards against faults that only a coincidence of troubles
+// brings about.
+func TestTroublesTogether(t *testing.T) {
+	play(t, func(w *world) {
+		w.faults.loseAnswer, w.faults.lateOrder, w.faults.loseWrite = 0.03, 0.03, 0.03
+		until, cut := map[WorkerID]Time{}, map[int]Time{}
+		w.faults.workerCut = func(id WorkerID, at Time) bool { return at < until[id] }
+		w.faults.hostCut = func(host int, at Time) bool { return at < cut[host] }
+		down := Time(0)
+		w.faults.storeDown = func(at Time) bool { return at < down }
+		for range 10 {
+			w.at(time.Duration(1000+w.rng.IntN(18000))*msec, func() {
+				switch w.rng.IntN(6) {
+				case 0:
+					w.crashWorker()
+				case 1:
+					until[w.workerIDs()[w.rng.IntN(len(w.workers))]] = w.now.Add(time.Duration(w.rng.IntN(9000)) * msec)
+				case 2:
+					cut[w.rng.IntN(len(w.hosts))] = w.now.Add(time.Duration(w.rng.IntN(7000)) * msec)
+				case 3:
+					down = w.now.Add(time.Duration(w.rng.IntN(5000)) * msec)
+				case 4:
+					if h := w.owner(); h != nil {
+						w.kill(h)
+						w.at(time.Duration(w.rng.IntN(3000))*msec, func() { w.startHost(h) })
+					}
+				case 5:
+					if h := w.owner(); h != nil {
+						life := h.life
+						w.post(h, life, StopRequested{})
+						w.at(3*time.Second, func() { w.kill(h); w.startHost(h) })
+					}
+				}
+			})
+		}
+	})
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -91,6 +91,9 @@
 	// leaseEnd is the highest end of its lease that was ever sent, on the
 	// worker's clock.
 	leaseEnd int64
+	// deadBy is when nothing can run any more that was ordered before the
+	// worker's present life was known.
+	deadBy Time
 	// noted is the highest end that has been taken into account, durable the
 	// highest one whose consequences are in the store.
 	noted, durable, acknowledged int64
@@ -176,14 +179,23 @@
 	}
 }
 
-// workerRestarted ends every run of the worker's earlier life.
+// workerRestarted notes that a worker has begun a new life. The runs of the earlier
+// one are gone, but a start that was sent since may have reached the new one, so
+// the new life's own list decides.
 func (c *cell) workerRestarted(w *worker, born int64) {
 	c.decide(Decision{Kind: "worker", Outcome: "restarted", Worker: w.info.ID,
 		Fields: []Field{{"runs", int64(len(w.runs))}, {"born", born}}})
-	c.dropRuns(w)
+	for _, r := range w.runs {
+		r.settled = c.now
+		r.missing = vanishedHolds - 1
+		if r.state == runStopping {
+			r.stopSent, r.stopDone = false, false
+		}
+	}
 	w.info.Born = born
 	w.info.Draining = false
 	w.contacted = false
+	w.deadBy = c.now.Add(worstCase(c.limits.MaxLease))
 	w.clock, w.clockAt, w.leaseEnd = 0, 0, 0
 	w.noted, w.durable, w.acknowledged = 0, 0, 0
 	w.leavesAt, w.drained, w.unknownRuns = 0, false, false
@@ -215,7 +227,7 @@
 // whatever happened to the calls sent to it.
 func (c *cell) surelyLapsed(w *worker) bool {
 	if !w.contacted {
-		return c.now >= c.inheritedDead
+		return c.now >= max(c.inheritedDead, w.deadBy)
 	}
 	left := time.Duration(w.leaseEnd-w.clock) * msec
 	return c.now >= w.clockAt.Add(worstCase(max(0, left)))
@@ -332,13 +344,9 @@
 		return
 	}
 	if w.info.Born != 0 && e.Born != 0 && e.Born != w.info.Born {
-		if e.Born < w.info.Born {
-			return
-		}
-		if w.contacted || len(w.runs) > 0 {
+		if e.Born > w.info.Born {
 			c.workerRestarted(w, e.Born)
 		}
-		w.info.Born = e.Born
 		return
 	}
 	if w.contacted && e.Clock < w.clock {
