--- a/host/follow.go
+++ b/host/follow.go
@@ -10,10 +10,10 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change. A connection that has
-	// gone silent costs at most this time, in which a configuration has to be
-	// in force (2.5 s).
-	watchWait = 10 * time.Second
+	// watchWait is how long a watch waits for a change. The store can fail to
+	// tell a waiting watch of a change, which the next call then finds; a
+	// configuration has to be in force within 2.5 s.
+	watchWait = 1 * time.Second
 	// followRetry is the wait after a call to the store that failed.
 	followRetry = 150 * time.Millisecond
 	// followRetryMost bounds the wait between failures in a row.
@@ -84,7 +84,9 @@
 // watchOnce waits for changes and reports them.
 func (d *Daemon) watchOnce(ctx context.Context, f follower, revision int64) (int64, error) {
 	items, next, err := d.store.Watch(ctx, f.prefix, revision, watchWait)
-	if err != nil {
+	if err != nil || len(items) == 0 {
+		// Without a change the watch continues from where it began: the store
+		// may have moved on past a change that it did not tell of.
 		return revision, err
 	}
 	for _, item := range items {
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -180,6 +180,25 @@
 	}
 	c.inheritedSettled = true
 	c.dirty = true
+	c.stopPartialGangs()
 	c.decide(Decision{Kind: "recovery", Outcome: "settled", Fields: []Field{
 		{"took_ms", c.now.Sub(c.claimed).Milliseconds()}, {"jobs", int64(len(c.jobs))}, {"workers", int64(len(c.workers))}}})
 }
+
+// stopPartialGangs stops the members of gangs some of which are gone.
+func (c *cell) stopPartialGangs() {
+	for _, j := range c.jobList {
+		for _, o := range j.occurrences {
+			for _, s := range o.stages {
+				if !s.step.Gang || s.waiting == 0 || s.waiting == len(s.tasks) || s.done > 0 {
+					continue
+				}
+				for _, t := range s.tasks {
+					if t.run != nil {
+						c.stopRun(t.run)
+					}
+				}
+			}
+		}
+	}
+}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -54,7 +54,17 @@
 }
 
 // crash ends everything that runs on the worker.
-func (fw *fakeWorker) crash() {
+func (fw *fakeWorker) crash(w *world) {
+	for _, r := range fw.sorted() {
+		if !w.jobs[r.id.Job].spec.Steps[r.id.Step].Gang {
+			continue
+		}
+		for _, m := range w.gang(r) {
+			if m.worker != fw {
+				w.at(w.delay(), func() { m.worker.end(w, m.run, EndBroken) })
+			}
+		}
+	}
 	fw.up = false
 	fw.runs, fw.waiting = map[TaskID]*fakeRun{}, nil
 }
@@ -349,7 +359,7 @@
 
 // end ends a run and tells the calls that wait for an end.
 func (fw *fakeWorker) end(w *world, r *fakeRun, kind EndKind) {
-	if r.ended {
+	if r.ended || fw.runs[r.id] != r {
 		return
 	}
 	r.ended = true
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -80,7 +80,9 @@
 	stage      *stage
 	index      int
 	state      taskState
+	// failures counts the runs that have failed, failedRun is the last of them.
 	failures   int
+	failedRun  int64
 	lastRun    int64
 	checkpoint string
 	// run is the task's current run, if it has one.
@@ -158,8 +160,8 @@
 	rec := Record{Job: j.id, Queue: j.queue, Accepted: j.accepted, Spec: j.spec, Cancelled: j.cancelled}
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
-			for n := range s.gangFailures {
-				rec.Ends = append(rec.Ends, EndRecord{Occurrence: o.index, Step: s.index, Run: int64(n + 1), Kind: EndFailed})
+			for _, run := range failedRuns(s.gangFailures, s.failedRun) {
+				rec.Ends = append(rec.Ends, EndRecord{Occurrence: o.index, Step: s.index, Run: run, Kind: EndFailed})
 			}
 			for _, t := range s.tasks {
 				rec.Ends = append(rec.Ends, t.endRecords()...)
@@ -169,14 +171,24 @@
 	return []Record{rec}
 }
 
+// failedRuns returns rising run numbers that stand for n failures, the last of
+// which was the given run.
+func failedRuns(n int, last int64) []int64 {
+	runs := make([]int64, n)
+	for i := range runs {
+		runs[i] = last - int64(n-1-i)
+	}
+	return runs
+}
+
 // endRecords returns the ends that make up the durable state of a task.
 func (t *task) endRecords() []EndRecord {
 	base := EndRecord{Occurrence: t.stage.occ.index, Step: t.stage.index, Index: t.index}
 	var ends []EndRecord
 	if !t.stage.step.Gang {
-		for n := range t.failures {
+		for _, run := range failedRuns(t.failures, t.failedRun) {
 			e := base
-			e.Run, e.Kind = int64(n+1), EndFailed
+			e.Run, e.Kind = run, EndFailed
 			ends = append(ends, e)
 		}
 	}
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -59,7 +59,12 @@
 		}
 		c.markDone(t)
 	case EndFailed:
-		t.failures++
+		// A worker lists an end again until it is acknowledged, also to a
+		// later owner; each run counts once.
+		if e.Run > t.failedRun {
+			t.failedRun = e.Run
+			t.failures++
+		}
 		if s.step.Gang && e.Run > s.failedRun {
 			s.failedRun = e.Run
 			s.gangFailures++
--- a/scheduler/promises_test.go
+++ b/scheduler/promises_test.go
@@ -201,7 +201,7 @@
 	if !fw.up {
 		return
 	}
-	fw.crash()
+	fw.crash(w)
 	w.at(time.Duration(500+w.rng.IntN(6000))*msec, func() {
 		fw.restart(w)
 		for _, h := range w.hosts {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -189,8 +189,9 @@
 		r.settled = c.now
 		r.missing = vanishedHolds - 1
 		if r.state == runStopping {
-			r.stopSent, r.stopDone = false, false
+			r.state, r.unwanted = runDoubted, true
 		}
+		r.stopSent, r.stopDone = false, false
 	}
 	w.info.Born = born
 	w.info.Draining = false
