--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -9,6 +9,9 @@
 const (
 	// stopRetry is the wait before an order to stop is repeated.
 	stopRetry = 300 * msec
+	// clockBackStep is by how many milliseconds a worker's clock may seem to go
+	// back because answers on several connections overtake each other.
+	clockBackStep = 1500
 )
 
 func compareRuns(a TaskID, runA int64, b TaskID, runB int64) int {
@@ -72,6 +75,10 @@
 	}
 	switch e.Result {
 	case OrderAccepted:
+		if w.contacted && e.Clock != 0 && e.Clock+clockBackStep < w.clock {
+			// The worker's clock begins anew with each life.
+			c.workerRestarted(w, w.info.Born)
+		}
 		r.settled = c.now
 		c.runConfirmed(r)
 	case OrderInDoubt:
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -115,6 +115,8 @@
 	inFlight bool
 	sent     Time
 	leaseEnd int64
+	// acknowledged is the highest end that the call let the worker forget.
+	acknowledged int64
 	// retryAt is when the next call is due after a failure, failures counts
 	// the failed ones in a row.
 	retryAt  Time
@@ -301,7 +303,13 @@
 	w.hold.sent = c.now
 	h := Hold{
 		Worker: w.info.ID, Address: w.info.Address, Call: w.hold.call,
-		Token: c.generation, Acknowledged: w.durable,
+		Token: c.generation,
+	}
+	if w.contacted && w.hold.failures == 0 && w.durable > w.acknowledged {
+		// After a call without an answer the address may belong to a new life
+		// of the worker, which would forget ends that nobody has read.
+		h.Acknowledged = w.durable
+		w.hold.acknowledged = w.durable
 	}
 	if w.contacted {
 		h.Wait = maxWait
@@ -362,7 +370,7 @@
 	if first {
 		w.leaseEnd = max(w.leaseEnd, e.Clock+c.limits.MaxLease.Milliseconds())
 	}
-	w.acknowledged = max(w.acknowledged, w.durable)
+	w.acknowledged = max(w.acknowledged, w.hold.acknowledged)
 	if e.Remaining > 0 {
 		w.leavesAt = c.now.Add(e.Remaining)
 	}
