Collect changes of workers' entries, looks at workers and store writes

Cause: a worker's entry changes with each heartbeat, so each host made 32 watch calls a second; a worker with ends that were not yet durable was asked again at once; starts opened a connection each; each accepted job was a write of its own.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -95,6 +95,12 @@
 // NewClient returns a client that dials within dialTimeout and keeps at most
 // idlePerHost unused connections to an address.
 func NewClient(dialTimeout time.Duration, idlePerHost int) *Client {
+	return NewBoundedClient(dialTimeout, idlePerHost, 0)
+}
+
+// NewBoundedClient returns a client that uses at most perHost connections to an
+// address at a time. Further exchanges wait for one.
+func NewBoundedClient(dialTimeout time.Duration, idlePerHost, perHost int) *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUserTimeout}
 	return &Client{transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -106,6 +112,7 @@
 		},
 		IdleConnTimeout:     IdleTimeout,
 		MaxIdleConnsPerHost: idlePerHost,
+		MaxConnsPerHost:     perHost,
 		DisableCompression:  true,
 	}}
 }
--- a/host/follow.go
+++ b/host/follow.go
@@ -14,6 +14,10 @@
 	// tell a waiting watch of a change, which the next call then finds; a
 	// configuration has to be in force within 2.5 s.
 	watchWait = 1 * time.Second
+	// workerSettle is the wait between two calls for changes of the workers'
+	// entries, which change with each heartbeat. A worker that leaves may get
+	// tasks for 2.5 s.
+	workerSettle = 600 * time.Millisecond
 	// followRetry is the wait after a call to the store that failed.
 	followRetry = 150 * time.Millisecond
 	// followRetryMost bounds the wait between failures in a row.
@@ -23,6 +27,9 @@
 // follower keeps up with the keys of a prefix.
 type follower struct {
 	prefix string
+	// settle is the wait after a change before the next call, so that one call
+	// brings several changes.
+	settle time.Duration
 	// listed is called with all items, changed with each later change.
 	listed  func(ctx context.Context, items []platform.Item)
 	changed func(ctx context.Context, item platform.Item)
@@ -92,6 +99,9 @@
 	for _, item := range items {
 		f.changed(ctx, item)
 	}
+	if f.settle > 0 {
+		pause(ctx, f.settle)
+	}
 	return max(next, revision), nil
 }
 
@@ -142,7 +152,7 @@
 		return w, err == nil
 	}
 	return follower{
-		prefix: platform.WorkerPrefix,
+		prefix: platform.WorkerPrefix, settle: workerSettle,
 		listed: func(ctx context.Context, items []platform.Item) {
 			var list []scheduler.WorkerInfo
 			for _, item := range items {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -33,6 +33,9 @@
 	j.waiting = []Token{e.Token}
 	c.record(Record{Job: j.id, Accepted: j.accepted, Queue: j.queue, Spec: j.spec}, true)
 	c.whenDurable(func() { c.accepted(j) })
+	// Advice is asked for while the job is being written. Its tasks start once
+	// it is accepted.
+	c.openJob(j)
 }
 
 // accepted continues once a job is in the store.
@@ -44,16 +47,15 @@
 	c.decide(Decision{Kind: "submit", Outcome: "accepted", Job: j.id, Queue: j.queue, Fields: []Field{
 		{"took_ms", c.now.Sub(j.acceptedAt).Milliseconds()}, {"generation", c.generation}}})
 	j.waiting = nil
-	c.openJob(j)
+	c.dirty = true
+	if j.cancelled {
+		c.settle(j)
+	}
 }
 
 // openJob puts the stages of a job into the ready list, or waits until they are
 // due.
 func (c *cell) openJob(j *job) {
-	if j.ending() {
-		c.settle(j)
-		return
-	}
 	for _, o := range j.occurrences {
 		if j.spec.Repeat > 0 && o.due > c.wall {
 			c.timed = append(c.timed, o)
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -26,6 +26,8 @@
 	adviserBacklog = 60 * msec
 	// longCall is the time from which a call may keep others waiting.
 	longCall = 150 * msec
+	// adviserRate is the weight of a new sample of a host's overhead.
+	adviserRate = 0.2
 	// adviceRetry is the wait after a call that failed.
 	adviceRetry = 100 * msec
 	// helloEvery is how often hosts greet the owner, and helloValid how long a
@@ -79,6 +81,8 @@
 	heard   Time
 	backlog time.Duration
 	long    int
+	// overhead is the mean time of a call beyond what the service takes.
+	overhead time.Duration
 }
 
 // ticket returns a ticket for a task of a stage on a worker, if it has one or
@@ -181,13 +185,13 @@
 		if a.long > 0 {
 			long++
 		}
-		if best == nil || a.backlog < best.backlog {
+		if a.backlog > 0 && a.backlog+cost > adviserBacklog {
+			continue
+		}
+		if best == nil || a.backlog+a.overhead < best.backlog+best.overhead {
 			best = a
 		}
 	}
-	if best == nil || best.backlog > 0 && best.backlog+cost > adviserBacklog {
-		return nil
-	}
 	// Long calls leave a host to the short ones.
 	if cost >= longCall && len(c.advisers) > 1 && long+1 >= len(c.advisers) {
 		return nil
@@ -204,6 +208,10 @@
 	delete(c.adviceCalls, e.Call)
 	for _, a := range c.advisers {
 		if a.address == call.host {
+			if !e.Failed {
+				extra := max(0, c.now.Sub(call.sent)-call.cost)
+				a.overhead += time.Duration(adviserRate * float64(extra-a.overhead))
+			}
 			a.backlog = max(0, a.backlog-call.cost)
 			if call.cost >= longCall {
 				a.long--
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -196,7 +196,7 @@
 func (c *cell) endJob(j *job, state JobState) {
 	j.state = state
 	j.finalWall = c.wall
-	c.record(Record{Job: j.id, Final: state, FinalAt: c.wall}, true)
+	c.record(Record{Job: j.id, Final: state, FinalAt: c.wall}, false)
 	c.whenDurable(func() {
 		j.shown = state
 		c.decide(Decision{Kind: "job", Outcome: state.String(), Job: j.id, Queue: j.queue,
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -53,10 +53,11 @@
 	// writeRetry is the wait before a write in doubt is repeated. It is short,
 	// since callers wait for it, and a repeated write has the same content.
 	writeRetry = 200 * msec
-	// lazyFlush is how long records that no caller waits for are collected. It
-	// bounds the store's calls, and is well below the time in which workers
-	// expect their ends to be acknowledged.
-	lazyFlush = 150 * msec
+	// callerFlush is how long records that a caller waits for are collected, and
+	// endFlush the others. They bound the store's calls to some 30 a second, and
+	// are small against the shortest objective of 500 ms.
+	callerFlush = 12 * msec
+	endFlush    = 40 * msec
 )
 
 // logWriter appends records to the log, one group at a time.
@@ -65,9 +66,10 @@
 	// may still be in the store.
 	next, first int64
 	pending     []Record
-	urgent      bool
-	// oldest is when the oldest pending record was added.
-	oldest Time
+	// dueAt is when the pending records have to be written.
+	dueAt Time
+	// wakeAt is when the next event asked for by a Wake arrives.
+	wakeAt Time
 	// inFlight is the group being written, if any.
 	inFlight *Group
 	retryAt  Time
@@ -88,11 +90,14 @@
 // record appends a record. urgent means that a caller waits for it.
 func (c *cell) record(rec Record, urgent bool) {
 	w := &c.log
-	if len(w.pending) == 0 {
-		w.oldest = c.now
+	due := c.now.Add(endFlush)
+	if urgent {
+		due = c.now.Add(callerFlush)
+	}
+	if len(w.pending) == 0 || due < w.dueAt {
+		w.dueAt = due
 	}
 	w.pending = append(w.pending, rec)
-	w.urgent = w.urgent || urgent
 }
 
 // whenDurable runs f once every record added so far is in the store.
@@ -117,15 +122,20 @@
 		w.sent = len(w.notes)
 		c.runNotes()
 	}
-	due := w.urgent || len(w.pending) >= maxGroupRecords || c.now.Sub(w.oldest) >= lazyFlush
-	if len(w.pending) == 0 || !due {
+	if len(w.pending) == 0 {
+		return
+	}
+	if len(w.pending) < maxGroupRecords && c.now < w.dueAt {
+		if w.wakeAt <= c.now || w.wakeAt > w.dueAt {
+			w.wakeAt = w.dueAt
+			c.emit(Wake{After: w.dueAt.Sub(c.now)})
+		}
 		return
 	}
 	n := min(len(w.pending), maxGroupRecords)
 	g := &Group{Sequence: w.next, Generation: c.generation, Records: w.pending[:n:n]}
 	w.pending = w.pending[n:]
 	if len(w.pending) == 0 {
-		w.urgent = false
 		w.sent = len(w.notes)
 	}
 	w.inFlight = g
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -44,7 +44,9 @@
 			continue
 		}
 		if examined <= maxExamined && c.mayRestart(s) {
-			if s.step.Gang {
+			if !s.job.durable {
+				c.wantAdvice(s)
+			} else if s.step.Gang {
 				if !c.placeGang(s) && gathering < maxGathering && c.gather(s) {
 					gathering++
 				}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -15,6 +15,8 @@
 	leaseTarget = 6 * time.Second
 	// holdRetry is the wait before a worker without an answer is asked again.
 	holdRetry = 250 * msec
+	// extendEvery is how often a worker is asked in any case while it runs tasks.
+	extendEvery = 1 * time.Second
 	// idleHold is how often a worker without runs is asked, so that its clock
 	// is known to within 2% of this time.
 	idleHold = 8 * time.Second
@@ -290,7 +292,14 @@
 
 // needsHold reports whether the worker has to be asked now.
 func (c *cell) needsHold(w *worker) bool {
-	if !w.contacted || len(w.runs) > 0 || w.unknownRuns || w.durable > w.acknowledged || w.noted > w.durable {
+	switch {
+	case !w.contacted || c.hasDoubt(w):
+		return true
+	case w.noted > w.durable:
+		// The worker would answer at once with ends that may not be
+		// acknowledged yet.
+		return c.now.Sub(w.hold.lastOK) >= extendEvery
+	case len(w.runs) > 0 || w.unknownRuns || w.durable > w.acknowledged:
 		return true
 	}
 	return w.listed && c.now.Sub(w.hold.lastOK) >= idleHold
@@ -402,8 +411,13 @@
 	if changed {
 		id, born, noted := w.info.ID, w.info.Born, w.noted
 		c.whenDurable(func() {
-			if w := c.workers[id]; w != nil && w.info.Born == born {
-				w.durable = max(w.durable, noted)
+			w := c.workers[id]
+			if w == nil || w.info.Born != born {
+				return
+			}
+			w.durable = max(w.durable, noted)
+			if !w.hold.inFlight && c.now >= w.hold.retryAt && c.mayHold() && c.needsHold(w) {
+				c.sendHold(w)
 			}
 		})
 	}
