--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -73,10 +73,10 @@
 	// inFlight is the group being written, if any.
 	inFlight *Group
 	retryAt  Time
-	// written is called with effects of groups that are durable.
-	notes []note
-	// sent is the number of notes that belong to the group in flight.
-	sent int
+	// appended and durable count the records that were added and those that are
+	// in the store. notes are in the order of the records they wait for.
+	appended, durable int64
+	notes             []note
 	// snapshot holds groups of a snapshot that are still to be written.
 	snapshot []Group
 	// cutAt is the sequence number of the snapshot being written.
@@ -84,8 +84,11 @@
 	deleting bool
 }
 
-// note is what follows once the records added before it are durable.
-type note func()
+// note is what follows once the first after records are durable.
+type note struct {
+	after int64
+	f     func()
+}
 
 // record appends a record. urgent means that a caller waits for it.
 func (c *cell) record(rec Record, urgent bool) {
@@ -97,11 +100,14 @@
 	if len(w.pending) == 0 || due < w.dueAt {
 		w.dueAt = due
 	}
+	w.appended++
 	w.pending = append(w.pending, rec)
 }
 
 // whenDurable runs f once every record added so far is in the store.
-func (c *cell) whenDurable(f note) { c.log.notes = append(c.log.notes, f) }
+func (c *cell) whenDurable(f func()) {
+	c.log.notes = append(c.log.notes, note{c.log.appended, f})
+}
 
 // flush writes the pending records if it is time to.
 func (c *cell) flush() {
@@ -117,11 +123,8 @@
 		c.writeSnapshotPart()
 		return
 	}
-	if len(w.pending) == 0 && len(w.notes) > 0 {
-		// Nothing to write: what was recorded before is durable.
-		w.sent = len(w.notes)
-		c.runNotes()
-	}
+	// What was recorded before a note may be durable already.
+	c.runNotes()
 	if len(w.pending) == 0 {
 		return
 	}
@@ -135,21 +138,16 @@
 	n := min(len(w.pending), maxGroupRecords)
 	g := &Group{Sequence: w.next, Generation: c.generation, Records: w.pending[:n:n]}
 	w.pending = w.pending[n:]
-	if len(w.pending) == 0 {
-		w.sent = len(w.notes)
-	}
 	w.inFlight = g
 	c.emit(WriteGroup{Group: *g, OwnerRevision: c.revision})
 }
 
-// runNotes runs the notes that belong to what has just become durable.
+// runNotes runs the notes whose records are durable.
 func (c *cell) runNotes() {
 	w := &c.log
-	n := w.sent
-	w.sent = 0
-	ready := w.notes[:n:n]
-	w.notes = w.notes[n:]
-	for _, f := range ready {
+	for len(w.notes) > 0 && w.notes[0].after <= w.durable {
+		f := w.notes[0].f
+		w.notes = w.notes[1:]
 		f()
 	}
 }
@@ -164,6 +162,7 @@
 		c.deleteBefore(w.cutAt)
 	}
 	if g.Snapshot == 0 {
+		w.durable += int64(len(g.Records))
 		c.runNotes()
 		if w.next-w.first >= snapshotAfter && !w.deleting && len(w.snapshot) == 0 {
 			c.beginSnapshot()
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -206,6 +206,13 @@
 // resumeLog continues writing after the ownership was regained. Between the two
 // claims nobody else was the owner, or the claim would not have been granted.
 func (c *cell) resumeLog() {
+	c.log.snapshot = nil
+	if g := c.log.inFlight; g != nil && g.Snapshot > 0 {
+		// The claim's own group lies between the parts, so the snapshot would
+		// not be complete. It is made again later.
+		c.log.inFlight = nil
+		return
+	}
 	if g := c.log.inFlight; g != nil {
 		g.Sequence, g.Generation = c.log.next, c.generation
 		c.log.retryAt = 0
--- a/scheduler/promises_test.go
+++ b/scheduler/promises_test.go
@@ -211,6 +211,22 @@
 	})
 }
 
+// TestWorkerLeavesForGood guards against tasks that wait for ever for a worker
+// which is gone, because each attempt to reach it extended its lease.
+func TestWorkerLeavesForGood(t *testing.T) {
+	play(t, func(w *world) {
+		for i := range 2 {
+			w.at(time.Duration(5+5*i)*time.Second, func() {
+				fw := w.workers[w.workerIDs()[i]]
+				fw.crash(w)
+				for _, h := range w.hosts {
+					w.post(h, h.life, WorkerRemoved{ID: fw.info.ID})
+				}
+			})
+		}
+	})
+}
+
 // TestWorkersCutOff guards against second runs of tasks that go on behind a cut.
 func TestWorkersCutOff(t *testing.T) {
 	play(t, func(w *world) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -77,6 +77,8 @@
 // worker is a worker as the owner knows it.
 type worker struct {
 	info WorkerInfo
+	// life counts the lives of the worker that this owner has seen.
+	life int
 	// listed means that the platform's list names the worker.
 	listed bool
 	// recorded means that the log names the worker, so that a successor knows
@@ -156,7 +158,7 @@
 // observeWorker takes over what the platform's list says of a worker.
 func (c *cell) observeWorker(info WorkerInfo) {
 	w := c.workers[info.ID]
-	if w != nil && w.contacted && info.Born != 0 && w.info.Born != 0 && info.Born > w.info.Born {
+	if w != nil && w.info.Born != 0 && info.Born > w.info.Born {
 		c.workerRestarted(w, info.Born)
 	}
 	wasDraining := w != nil && w.info.Draining
@@ -197,6 +199,7 @@
 		}
 		r.stopSent, r.stopDone = false, false
 	}
+	w.life++
 	w.info.Born = born
 	w.info.Draining = false
 	w.contacted = false
@@ -325,9 +328,14 @@
 		if w.noted > w.durable || c.hasDoubt(w) {
 			h.Wait = 0
 		}
-		if len(w.runs) > 0 {
+		switch {
+		case len(w.runs) == 0:
+			h.Wait = 0
+		case w.hold.failures == 0:
 			h.Deadline = c.nextLeaseEnd(w)
-		} else {
+		default:
+			// A worker that does not answer may still get the call. Its lease
+			// is left to end, so that its tasks can start elsewhere.
 			h.Wait = 0
 		}
 	}
@@ -409,10 +417,10 @@
 		c.endListed(w, e)
 	}
 	if changed {
-		id, born, noted := w.info.ID, w.info.Born, w.noted
+		id, life, noted := w.info.ID, w.life, w.noted
 		c.whenDurable(func() {
 			w := c.workers[id]
-			if w == nil || w.info.Born != born {
+			if w == nil || w.life != life {
 				return
 			}
 			w.durable = max(w.durable, noted)
