Take over sooner after an owner is lost

Cause: a takeover took the lease of 2 s, also when the same host came back, and waiting requests were refused after 800 ms. Change: a lease of 1.4 s, a host replaces the record of its own earlier process, requests wait 1.7 s for an owner.

--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -77,9 +77,9 @@
 
 // task is one task of a stage.
 type task struct {
-	stage      *stage
-	index      int
-	state      taskState
+	stage *stage
+	index int
+	state taskState
 	// failures counts the runs that have failed, failedRun is the last of them.
 	failures   int
 	failedRun  int64
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -6,11 +6,12 @@
 	// leaseTTL is the time to live of the ownership. A killed owner's work is
 	// taken over after it, and the workers' leases of 6 s and more have to last
 	// until then.
-	leaseTTL = 2 * time.Second
+	leaseTTL = 1400 * msec
 	// renewEvery leaves time for three renewals within the lease.
-	renewEvery = 500 * msec
-	// renewTimeout is when a renewal without an answer is repeated.
-	renewTimeout = 700 * msec
+	renewEvery = 350 * msec
+	// renewTimeout is when a renewal without an answer is repeated. A slow store
+	// answers within 250 ms.
+	renewTimeout = 450 * msec
 	// leaseMargin is taken off the lease for the time that an order is on its
 	// way inside this host.
 	leaseMargin = 100 * msec
@@ -85,6 +86,12 @@
 		// This host's own record.
 	case e.Present && r.cell != nil && e.Record.Generation < r.cell.generation:
 		// A late view of an earlier owner.
+	case e.Present && e.Record.Address == r.self.Address && r.cell == nil && o.phase == phaseFollow && !r.stopping:
+		// An earlier process of this host had the ownership. It is gone, since
+		// its address is free.
+		if o.claimAt == 0 {
+			o.claimAt = r.now
+		}
 	case e.Present:
 		if r.cell != nil {
 			r.stepDown("another host is the owner")
@@ -108,7 +115,8 @@
 	o := &r.owner
 	switch o.phase {
 	case phaseFollow:
-		if o.known && !o.present && !r.stopping {
+		mine := o.record.Address == r.self.Address
+		if o.known && (!o.present || mine) && !r.stopping {
 			if o.claimAt == 0 {
 				o.claimAt = r.now.Add(claimRetry)
 			}
@@ -155,10 +163,20 @@
 	record := OwnerRecord{Host: r.self.Host, Address: r.self.Address, Generation: c.generation + 1}
 	r.emit(ClaimOwnership{
 		Record: record, TTL: max(leaseTTL, r.limits.MinStoreLease),
-		Opening: Group{Sequence: c.log.next, Generation: record.Generation, Host: r.self.Host},
+		Opening:  Group{Sequence: c.log.next, Generation: record.Generation, Host: r.self.Host},
+		Replaces: r.replacedRecord(),
 	})
 }
 
+// replacedRecord is the revision of the owner record that a claim replaces: that
+// of an earlier process of this host, or 0 if there must be no record.
+func (r *Reducer) replacedRecord() int64 {
+	if o := &r.owner; o.present && o.record.Address == r.self.Address {
+		return o.revision
+	}
+	return 0
+}
+
 // claimAnswered ends a takeover.
 func (r *Reducer) claimAnswered(e ClaimAnswered) {
 	o := &r.owner
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -7,8 +7,8 @@
 
 const (
 	// ownerWait is how long a request waits for an owner before its caller is
-	// told to come back. Takeovers after a planned stop are shorter.
-	ownerWait = 800 * msec
+	// told to come back: the time of a takeover after an owner was killed.
+	ownerWait = 1700 * msec
 	// forwardTimeout bounds one exchange with the owner; a longer silence means
 	// that the connection is dead.
 	forwardTimeout = 1500 * msec
