Reach the store through another host, and prefer powerful hosts as owner

Cause: the store can turn single hosts away; the owner then lost its lease after 1.4 s of refused writes. On deployments with hosts of different sizes a small host could become the owner. Change: an owner whose call fails repeats it through another host, and hands the ownership over when the direct way stays closed. Hosts tell their processor time in their greetings; a host with 1.5 times as much is handed the ownership. Test: TestOwnerHandsOverWhenCutOff.

--- a/host/daemon.go
+++ b/host/daemon.go
@@ -82,7 +82,7 @@
 		waiting: map[scheduler.Token]chan scheduler.Answer{}, stopped: make(chan struct{}),
 	}
 	reducer := scheduler.New(scheduler.Self{
-		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Seed: seed,
+		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Power: settings.Power, Seed: seed,
 	}, settings.Limits)
 	d.loop = control.New(control.Config[scheduler.Input, scheduler.Effect]{
 		Step: reducer.Step, Execute: d.execute, Immediate: d.immediate,
--- a/host/execute.go
+++ b/host/execute.go
@@ -52,11 +52,9 @@
 	case scheduler.ClaimOwnership:
 		d.post(ctx, d.claim(ctx, e))
 	case scheduler.RenewLease:
-		d.post(ctx, d.renewLease(ctx, e))
+		d.post(ctx, d.renew(ctx, e))
 	case scheduler.EndLease:
-		if err := d.store.EndLease(ctx, e.Lease); err != nil {
-			d.log.Warn().Err(err).Str("event", "owner").Str("outcome", "lease_not_ended").Send()
-		}
+		d.end(ctx, e)
 	case scheduler.ReadOwner:
 		seen, err := d.readOwner(ctx)
 		if err != nil {
@@ -65,7 +63,7 @@
 		}
 		d.post(ctx, seen)
 	case scheduler.WriteGroup:
-		d.post(ctx, d.writeGroup(ctx, e))
+		d.post(ctx, d.write(ctx, e))
 	case scheduler.DeleteGroups:
 		d.post(ctx, d.deleteGroups(ctx, e))
 	default:
--- a/host/peer.go
+++ b/host/peer.go
@@ -19,6 +19,7 @@
 	pathRequest = "/peer/v1/request"
 	pathHello   = "/peer/v1/hello"
 	pathAdvice  = "/peer/v1/advice"
+	pathStore   = "/peer/v1/store"
 	// maxPeerBytes bounds a message between hosts.
 	maxPeerBytes = 4 << 20
 )
@@ -83,6 +84,7 @@
 type helloMessage struct {
 	Host    string `json:"host"`
 	Address string `json:"address"`
+	Power   int64  `json:"power"`
 }
 
 // adviceRequest is a call of the advice service that another host is to make.
@@ -116,8 +118,11 @@
 	router.POST(pathHello, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var h helloMessage
 		if d.readPeer(w, r, &h) {
-			d.post(r.Context(), scheduler.HelloReceived{Host: h.Host, Address: h.Address})
-			d.writePeer(w, struct{}{})
+			ctx, cancel := context.WithTimeout(r.Context(), orderTimeout)
+			defer cancel()
+			d.writePeer(w, d.await(ctx, func(t scheduler.Token) scheduler.Event {
+				return scheduler.HelloReceived{Host: h.Host, Address: h.Address, Power: h.Power, Token: t}
+			}))
 		}
 	})
 	router.POST(pathAdvice, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -128,6 +133,12 @@
 		e := d.askService(r.Context(), scheduler.AskAdvice{Step: a.Step, Workers: a.Workers, Timeout: a.Timeout})
 		d.writePeer(w, adviceResponse{e.Failed, e.Refused, e.Good, e.Valid})
 	})
+	router.POST(pathStore, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var s storeRequest
+		if d.readPeer(w, r, &s) {
+			d.writePeer(w, d.relayed(r.Context(), s))
+		}
+	})
 	return router
 }
 
@@ -198,9 +209,14 @@
 
 // hello tells the owner that this host is alive.
 func (d *Daemon) hello(ctx context.Context, h scheduler.Hello) {
-	var out struct{}
-	if failure := d.callPeer(ctx, h.Address, pathHello, helloMessage{d.settings.Host, d.settings.PeerAddress}, &out, orderTimeout); failure != nil {
+	var out scheduler.Answer
+	message := helloMessage{d.settings.Host, d.settings.PeerAddress, d.settings.Power}
+	if failure := d.callPeer(ctx, h.Address, pathHello, message, &out, orderTimeout); failure != nil {
 		d.log.Info().Err(failure).Str("event", "hello").Str("outcome", "failed").Str("owner", h.Address).Send()
+		return
+	}
+	if out.Status == scheduler.StatusOK {
+		d.post(ctx, scheduler.HelloAnswered{MaxPower: out.MaxPower})
 	}
 }
 
--- /dev/null
+++ b/host/relay.go
@@ -0,0 +1,90 @@
+package host
+
+import (
+	"context"
+
+	"banyanrun.example/banyanrun/scheduler"
+)
+
+// storeRequest is a call to the store that another host is to make. One of its
+// fields is set.
+type storeRequest struct {
+	Write *scheduler.WriteGroup `json:"write,omitempty"`
+	Renew int64                 `json:"renew,omitempty"`
+	End   int64                 `json:"end,omitempty"`
+}
+
+// storeResponse is the result of a relayed call. Sent is not part of it: the
+// owner's lease counts from when the owner itself sent the call.
+type storeResponse struct {
+	Written scheduler.GroupWritten `json:"written"`
+	Renewed scheduler.LeaseRenewed `json:"renewed"`
+}
+
+// relayed makes a call to the store for another host.
+func (d *Daemon) relayed(ctx context.Context, s storeRequest) storeResponse {
+	var out storeResponse
+	switch {
+	case s.Write != nil:
+		out.Written = d.writeGroup(ctx, *s.Write)
+	case s.Renew != 0:
+		out.Renewed = d.renewLease(ctx, scheduler.RenewLease{Lease: s.Renew})
+	case s.End != 0:
+		d.endLease(ctx, s.End)
+	}
+	return out
+}
+
+// callStore makes a call to the store through another host. It reports false if
+// that host gave no answer.
+func (d *Daemon) callStore(ctx context.Context, via string, s storeRequest) (storeResponse, bool) {
+	var out storeResponse
+	if failure := d.callPeer(ctx, via, pathStore, s, &out, storeTimeout); failure != nil {
+		d.log.Info().Err(failure).Str("event", "relay").Str("outcome", "failed").Str("via", via).Send()
+		return out, false
+	}
+	return out, true
+}
+
+// write appends a group to the log, from this host or through another one.
+func (d *Daemon) write(ctx context.Context, e scheduler.WriteGroup) scheduler.GroupWritten {
+	if e.Via == "" {
+		return d.writeGroup(ctx, e)
+	}
+	out, ok := d.callStore(ctx, e.Via, storeRequest{Write: &e})
+	if !ok {
+		return scheduler.GroupWritten{Sequence: e.Group.Sequence, Outcome: scheduler.InDoubt, Via: e.Via}
+	}
+	out.Written.Via = e.Via
+	return out.Written
+}
+
+// renew renews the owner's lease, from this host or through another one.
+func (d *Daemon) renew(ctx context.Context, e scheduler.RenewLease) scheduler.LeaseRenewed {
+	if e.Via == "" {
+		return d.renewLease(ctx, e)
+	}
+	sent := now()
+	out, ok := d.callStore(ctx, e.Via, storeRequest{Renew: e.Lease})
+	if !ok {
+		return scheduler.LeaseRenewed{Lease: e.Lease, Sent: sent, Outcome: scheduler.InDoubt, Via: e.Via}
+	}
+	out.Renewed.Sent, out.Renewed.Via = sent, e.Via
+	return out.Renewed
+}
+
+// end gives the ownership back, from this host or through another one.
+func (d *Daemon) end(ctx context.Context, e scheduler.EndLease) {
+	if e.Via == "" {
+		d.endLease(ctx, e.Lease)
+		return
+	}
+	d.callStore(ctx, e.Via, storeRequest{End: e.Lease})
+}
+
+// endLease ends a lease in the store.
+func (d *Daemon) endLease(ctx context.Context, lease int64) {
+	if err := d.store.EndLease(ctx, lease); err != nil {
+		d.log.Warn().Err(err).Str("event", "owner").Str("outcome", "lease_not_ended").Send()
+	}
+}
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -79,6 +79,7 @@
 type adviser struct {
 	address string
 	heard   Time
+	power   int64
 	backlog time.Duration
 	long    int
 	// overhead is the mean time of a call beyond what the service takes.
@@ -263,12 +264,13 @@
 }
 
 // greeted notes that a host is alive and can ask for advice.
-func (c *cell) greeted(address string) {
+func (c *cell) greeted(e HelloReceived) {
+	c.emit(Reply{Token: e.Token, Answer: Answer{MaxPower: c.maxPower()}})
 	for _, a := range c.advisers {
-		if a.address == address {
-			a.heard = c.now
+		if a.address == e.Address {
+			a.heard, a.power = c.now, e.Power
 			return
 		}
 	}
-	c.advisers = append(c.advisers, &adviser{address: address, heard: c.now})
+	c.advisers = append(c.advisers, &adviser{address: e.Address, heard: c.now, power: e.Power})
 }
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -40,6 +40,7 @@
 	adviceCalls map[uint64]*adviceCall
 	calls       uint64
 	timers      []timer
+	relay       relay
 	lastForget  Time
 }
 
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -67,6 +67,8 @@
 	Pending int `json:"pending,omitempty"`
 	// RetryAfter is when a refused caller has a chance, if it is not zero.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// MaxPower is set in answers to HelloReceived.
+	MaxPower int64 `json:"max_power,omitempty"`
 }
 
 // Reply answers a caller's request.
@@ -111,12 +113,16 @@
 type RenewLease struct {
 	effect
 	Lease int64
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // EndLease gives the ownership back.
 type EndLease struct {
 	effect
 	Lease int64
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // ReadOwner reads the owner record at once.
@@ -128,6 +134,8 @@
 	effect
 	Group         Group
 	OwnerRevision int64
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // DeleteGroups removes the groups from one sequence number through another.
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -135,6 +135,8 @@
 	Outcome Outcome
 	// Ended means that the store does not know the lease any more.
 	Ended bool
+	// Via is the host that made the call, empty for this one.
+	Via string
 }
 
 // GroupWritten is the answer to WriteGroup.
@@ -148,6 +150,8 @@
 	Taken bool
 	// Ours means that the group that holds the sequence number is this one.
 	Ours bool
+	// Via is the host that made the call, empty for this one.
+	Via string
 }
 
 // GroupsDeleted is the answer to DeleteGroups.
@@ -161,6 +165,15 @@
 type HelloReceived struct {
 	event
 	Host, Address string
+	Power         int64
+	Token         Token
+}
+
+// HelloAnswered is the owner's answer to Hello.
+type HelloAnswered struct {
+	event
+	// MaxPower is the greatest processor time of all hosts.
+	MaxPower int64
 }
 
 // SubmitReceived is a caller's job.
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -115,7 +115,7 @@
 	if w.inFlight != nil {
 		if w.retryAt != 0 && c.now >= w.retryAt {
 			w.retryAt = 0
-			c.emit(WriteGroup{Group: *w.inFlight, OwnerRevision: c.revision})
+			c.emit(WriteGroup{Group: *w.inFlight, OwnerRevision: c.revision, Via: c.relay.via})
 		}
 		return
 	}
@@ -139,7 +139,7 @@
 	g := &Group{Sequence: w.next, Generation: c.generation, Records: w.pending[:n:n]}
 	w.pending = w.pending[n:]
 	w.inFlight = g
-	c.emit(WriteGroup{Group: *g, OwnerRevision: c.revision})
+	c.emit(WriteGroup{Group: *g, OwnerRevision: c.revision, Via: c.relay.via})
 }
 
 // runNotes runs the notes whose records are durable.
@@ -206,7 +206,7 @@
 	w.snapshot = w.snapshot[1:]
 	g.Sequence = w.next
 	w.inFlight = &g
-	c.emit(WriteGroup{Group: g, OwnerRevision: c.revision})
+	c.emit(WriteGroup{Group: g, OwnerRevision: c.revision, Via: c.relay.via})
 }
 
 // maxDeletes is how many groups one call removes: a call has at most 32 entries,
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -22,6 +22,8 @@
 	// claimSpread is the range of the random wait before a claim, so that the
 	// hosts do not all claim at once.
 	claimSpread = 120 * msec
+	// weakDelay is the additional wait of hosts with little processor time.
+	weakDelay = 500 * msec
 	// claimRetry is the wait after a claim or a read that failed.
 	claimRetry = 300 * msec
 	// claimTimeout is when a claim without an answer is given up.
@@ -61,7 +63,10 @@
 	renewed   Time
 	ttl       time.Duration
 	renewSent Time
+	renewVia  string
 	renewing  bool
+	// restUntil is until when this host does not claim.
+	restUntil Time
 	// reclaim means that the lease has ended while this host was the owner.
 	reclaim bool
 }
@@ -104,19 +109,29 @@
 	case o.phase == phaseOwner:
 		r.loseLease("the owner record is gone")
 	case o.phase == phaseFollow && o.claimAt == 0:
-		o.claimAt = r.now.Add(time.Duration(r.random.Int64N(int64(claimSpread))))
+		o.claimAt = r.now.Add(r.claimDelay())
 	}
 	r.retryWaiting()
 	r.publishReady()
 }
 
+// claimDelay is the wait before a claim. Hosts with little processor time leave
+// the ownership to others, if there are any.
+func (r *Reducer) claimDelay() time.Duration {
+	delay := time.Duration(r.random.Int64N(int64(claimSpread)))
+	if r.self.Power > 0 && float64(r.maxPower) >= powerFactor*float64(r.self.Power) {
+		delay += weakDelay
+	}
+	return delay
+}
+
 // advanceOwnership does what is due about the ownership.
 func (r *Reducer) advanceOwnership() {
 	o := &r.owner
 	switch o.phase {
 	case phaseFollow:
 		mine := o.record.Address == r.self.Address
-		if o.known && (!o.present || mine) && !r.stopping {
+		if o.known && (!o.present || mine) && !r.stopping && r.now >= o.restUntil {
 			if o.claimAt == 0 {
 				o.claimAt = r.now.Add(claimRetry)
 			}
@@ -130,6 +145,12 @@
 		}
 	case phaseOwner:
 		r.advanceLease()
+		if r.cell != nil {
+			r.cell.advanceRelay()
+		}
+		if r.cell != nil && r.leaseValid() {
+			r.cell.advancePower()
+		}
 	}
 }
 
@@ -234,7 +255,7 @@
 	if g := c.log.inFlight; g != nil {
 		g.Sequence, g.Generation = c.log.next, c.generation
 		c.log.retryAt = 0
-		c.emit(WriteGroup{Group: *g, OwnerRevision: c.revision})
+		c.emit(WriteGroup{Group: *g, OwnerRevision: c.revision, Via: c.relay.via})
 	}
 }
 
@@ -271,8 +292,11 @@
 		return
 	}
 	if r.now.Sub(o.renewSent) >= renewEvery {
-		o.renewing, o.renewSent = true, r.now
-		r.emit(RenewLease{Lease: o.lease})
+		if o.renewing {
+			r.cell.storeFailed(o.renewVia)
+		}
+		o.renewing, o.renewSent, o.renewVia = true, r.now, r.cell.relay.via
+		r.emit(RenewLease{Lease: o.lease, Via: o.renewVia})
 	}
 	if r.now > r.holdEnd() {
 		r.stepDown("the lease could not be renewed in time")
@@ -293,14 +317,16 @@
 	switch {
 	case e.Ended:
 		r.loseLease("the store has ended the lease")
-	case e.Outcome == Done:
+	case e.Outcome != Done:
+		r.cell.storeFailed(e.Via)
+		o.renewSent = r.now.Add(-renewEvery)
+	default:
+		r.cell.storeAnswered(e.Via)
 		if !r.leaseValid() {
 			r.emit(Decision{Kind: "owner", Outcome: "lease_regained", Fields: []Field{{"silent_ms", r.now.Sub(o.renewed).Milliseconds()}}})
 		}
 		o.renewed = max(o.renewed, e.Sent)
-		if r.cell != nil {
-			r.cell.dirty = true
-		}
+		r.cell.dirty = true
 	}
 }
 
--- a/scheduler/promises_test.go
+++ b/scheduler/promises_test.go
@@ -185,6 +185,32 @@
 	})
 }
 
+// TestOwnerHandsOverWhenCutOff guards against an outage of seconds while the store
+// turns the owner away and serves the other hosts.
+func TestOwnerHandsOverWhenCutOff(t *testing.T) {
+	w := newWorld(t, 3, 3, 4)
+	w.run(3 * time.Second)
+	first := w.owner()
+	w.faults.hostCut = func(host int, _ Time) bool { return host == first.index }
+	for i := range 30 {
+		w.at(time.Duration(i)*100*msec, func() {
+			for _, h := range w.hosts {
+				if h.r.leaseValid() {
+					return
+				}
+			}
+			w.break_("nobody holds the lease")
+		})
+	}
+	w.run(3 * time.Second)
+	if o := w.owner(); o == nil || o == first {
+		t.Errorf("the host that is cut off still owns the cell")
+	}
+	if len(w.broken) > 2 {
+		t.Errorf("the cell was without an owner for %d tenths of a second: %v", len(w.broken), w.broken)
+	}
+}
+
 // TestWorkersCrash guards against tasks that are lost with their worker, and
 // against ends of an earlier life that count for the new one.
 func TestWorkersCrash(t *testing.T) {
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -19,7 +19,9 @@
 	// Address is where other hosts reach this one.
 	Address string
 	Zone    string
-	Seed    uint64
+	// Power is the processor time that the host has, in thousandths of a core.
+	Power int64
+	Seed  uint64
 }
 
 // Reducer is the control state of a host.
@@ -41,7 +43,9 @@
 	candidate *cell
 	cell      *cell
 
-	requests  map[Token]*request
+	requests map[Token]*request
+	// maxPower is the greatest processor time of the hosts, as the owner said.
+	maxPower  int64
 	helloSent Time
 	stopping  bool
 	stopAt    Time
@@ -104,6 +108,8 @@
 		r.request(e.Token, e, e.Deadline, e.Forwarded)
 	case ForwardAnswered:
 		r.forwardAnswered(e)
+	case HelloAnswered:
+		r.maxPower = e.MaxPower
 	case StopRequested:
 		r.stopRequested()
 	default:
@@ -123,7 +129,7 @@
 	case GroupsDeleted:
 		c.groupsDeleted(e)
 	case HelloReceived:
-		c.greeted(e.Address)
+		c.greeted(e)
 	case HoldAnswered:
 		c.holdAnswered(e)
 	case StartAnswered:
@@ -240,6 +246,11 @@
 	if w.inFlight == nil || e.Sequence != w.inFlight.Sequence {
 		return
 	}
+	if e.Outcome == Done || e.Outcome == Conflict {
+		c.storeAnswered(e.Via)
+	} else {
+		c.storeFailed(e.Via)
+	}
 	switch {
 	case e.Outcome == Done || e.Ours:
 		c.groupDurable()
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -251,7 +251,7 @@
 		return
 	}
 	if c := r.cell; c != nil && c.log.inFlight == nil && len(c.log.pending) == 0 {
-		r.emit(EndLease{Lease: r.owner.lease})
+		r.emit(EndLease{Lease: r.owner.lease, Via: c.relay.via})
 		r.stepDown("this host is stopping")
 		r.owner.known = false
 	}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -277,9 +277,10 @@
 // executeStore carries out a call to the store.
 func (w *world) executeStore(h *fakeHost, life int, f Effect) {
 	lost := w.rng.Float64() < w.faults.loseWrite
+	caller := w.caller(h, f)
 	w.at(w.delay(), func() {
 		var e Event
-		if w.storeReachable(h) {
+		if caller != nil && w.storeReachable(caller) {
 			w.expireLease()
 			e = w.storeCall(f)
 		} else {
@@ -287,7 +288,7 @@
 		}
 		switch f.(type) {
 		case WriteGroup:
-			if lost && w.storeReachable(h) {
+			if lost {
 				e = unreachable(f)
 			}
 		}
@@ -297,6 +298,28 @@
 	})
 }
 
+// caller is the host that makes a call to the store, or nil if it is dead.
+func (w *world) caller(h *fakeHost, f Effect) *fakeHost {
+	via := ""
+	switch f := f.(type) {
+	case WriteGroup:
+		via = f.Via
+	case RenewLease:
+		via = f.Via
+	case EndLease:
+		via = f.Via
+	}
+	if via == "" {
+		return h
+	}
+	for _, o := range w.hosts {
+		if o.address == via && o.alive {
+			return o
+		}
+	}
+	return nil
+}
+
 // unreachable is what a host learns of a call without an answer.
 func unreachable(f Effect) Event {
 	switch f := f.(type) {
@@ -305,9 +328,9 @@
 	case ClaimOwnership:
 		return ClaimAnswered{Outcome: NotDone}
 	case RenewLease:
-		return LeaseRenewed{Lease: f.Lease, Outcome: InDoubt}
+		return LeaseRenewed{Lease: f.Lease, Outcome: InDoubt, Via: f.Via}
 	case WriteGroup:
-		return GroupWritten{Sequence: f.Group.Sequence, Outcome: InDoubt}
+		return GroupWritten{Sequence: f.Group.Sequence, Outcome: InDoubt, Via: f.Via}
 	case DeleteGroups:
 		return GroupsDeleted{Through: f.Through, Outcome: InDoubt}
 	}
@@ -340,10 +363,10 @@
 		return ClaimAnswered{Outcome: Done, Lease: s.lease, Sent: w.now, TTL: f.TTL, Revision: s.revision}
 	case RenewLease:
 		if s.owner == nil || s.lease != f.Lease {
-			return LeaseRenewed{Lease: f.Lease, Sent: w.now, Ended: true}
+			return LeaseRenewed{Lease: f.Lease, Sent: w.now, Ended: true, Via: f.Via}
 		}
 		s.leaseEnd = w.now.Add(s.ttl)
-		return LeaseRenewed{Lease: f.Lease, Sent: w.now}
+		return LeaseRenewed{Lease: f.Lease, Sent: w.now, Via: f.Via}
 	case EndLease:
 		if s.owner != nil && s.lease == f.Lease {
 			s.owner = nil
@@ -368,7 +391,7 @@
 
 func (w *world) writeGroup(f WriteGroup) GroupWritten {
 	s := &w.store
-	e := GroupWritten{Sequence: f.Group.Sequence}
+	e := GroupWritten{Sequence: f.Group.Sequence, Via: f.Via}
 	value, err := json.Marshal(f.Group)
 	if err != nil {
 		w.t.Fatal(err)
