--- a/cmd/banyanrun-host/main.go
+++ b/cmd/banyanrun-host/main.go
@@ -22,8 +22,11 @@
 // before it collects garbage without pause; the rest is for buffers of sockets.
 const memoryShare = 0.6
 
+const maxPort = 65535
+
 type options struct {
-	NodeFile string `long:"node-file" env:"BANYANRUN_NODE_FILE" required:"true" description:"settings file that the platform writes"`
+	NodeFile    string `long:"node-file" env:"BANYANRUN_NODE_FILE" required:"true" description:"settings file that the platform writes"`
+	MetricsPort int    `long:"metrics-port" env:"BANYANRUN_METRICS_PORT" default:"9464" description:"port of the metrics, 0 for none; they are also served on the address of the readiness check"`
 }
 
 func main() {
@@ -41,6 +44,9 @@
 		}
 		return err
 	}
+	if opts.MetricsPort < 0 || opts.MetricsPort > maxPort {
+		return &platform.SettingsError{Setting: "metrics-port", Value: opts.MetricsPort, Allowed: "0 to 65535"}
+	}
 	settings, err := platform.ReadSettings(opts.NodeFile)
 	if err != nil {
 		return err
@@ -50,7 +56,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := host.New(settings, os.Stdout, seed(settings.Host))
+	d := host.New(settings, os.Stdout, host.Options{MetricsPort: opts.MetricsPort, Seed: seed(settings.Host)})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
--- a/host/caller.go
+++ b/host/caller.go
@@ -24,6 +24,7 @@
 		}
 		w.WriteHeader(http.StatusOK)
 	})
+	router.Handler(http.MethodGet, metricsPath, d.meters)
 	return router
 }
 
@@ -32,11 +33,13 @@
 	received := now()
 	cfg := d.config.Load()
 	if cfg == nil {
+		d.log.Info().Str("event", "request").Str("outcome", "unavailable").Str("reason", string(scheduler.ReasonNoConfig)).Str("path", r.URL.Path).Send()
 		platform.WriteDone(w, scheduler.Answer{Status: scheduler.StatusUnavailable, RetryAfter: time.Second})
 		return
 	}
 	queue, id, ok := cfg.Route(r.Host, r.URL.Path)
 	if !ok {
+		d.log.Info().Str("event", "request").Str("outcome", "no_queue").Str("path", r.URL.Path).Str("name", r.Host).Int64("version", cfg.Scheduler.Version).Send()
 		platform.WriteDone(w, scheduler.Answer{Status: scheduler.StatusNoQueue})
 		return
 	}
@@ -44,7 +47,7 @@
 	job := scheduler.JobID(strings.ToLower(id))
 	switch {
 	case r.Method == http.MethodGet && id == "":
-		platform.WritePending(w, d.await(r.Context(), func(t scheduler.Token) scheduler.Event {
+		platform.WritePending(w, d.serveRequest(r.Context(), kindPending, func(t scheduler.Token) scheduler.Event {
 			return scheduler.PendingReceived{Token: t, Queue: queue, Deadline: deadline}
 		}))
 	case r.Method != http.MethodGet && r.Method != http.MethodPost && r.Method != http.MethodDelete:
@@ -57,11 +60,11 @@
 			Queue: queue, ConfigVersion: cfg.Scheduler.Version, Job: job, Deadline: deadline,
 		})
 	case r.Method == http.MethodDelete:
-		platform.WriteDone(w, d.await(r.Context(), func(t scheduler.Token) scheduler.Event {
+		platform.WriteDone(w, d.serveRequest(r.Context(), kindCancel, func(t scheduler.Token) scheduler.Event {
 			return scheduler.CancelReceived{Token: t, Job: job, Deadline: deadline}
 		}))
 	default:
-		platform.WriteState(w, d.await(r.Context(), func(t scheduler.Token) scheduler.Event {
+		platform.WriteState(w, d.serveRequest(r.Context(), kindStatus, func(t scheduler.Token) scheduler.Event {
 			return scheduler.StatusReceived{Token: t, Job: job, Deadline: deadline}
 		}))
 	}
@@ -83,7 +86,7 @@
 		d.refuse(w, e.Job, err)
 		return
 	}
-	platform.WriteDone(w, d.await(r.Context(), func(t scheduler.Token) scheduler.Event {
+	platform.WriteDone(w, d.serveRequest(r.Context(), kindSubmit, func(t scheduler.Token) scheduler.Event {
 		e.Token = t
 		return e
 	}))
@@ -100,6 +103,14 @@
 	http.Error(w, err.Error(), status)
 }
 
+// serveRequest serves a caller's request and measures it.
+func (d *Daemon) serveRequest(ctx context.Context, kind requestKind, event func(scheduler.Token) scheduler.Event) scheduler.Answer {
+	began := time.Now()
+	a := d.await(ctx, event)
+	d.meters.request(kind, a.Status, time.Since(began))
+	return a
+}
+
 // await posts an event with a new token and waits for the reducer's answer.
 func (d *Daemon) await(ctx context.Context, event func(scheduler.Token) scheduler.Event) scheduler.Answer {
 	token := scheduler.Token(d.tokens.Add(1))
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -9,10 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/julienschmidt/httprouter"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
@@ -48,9 +50,11 @@
 // Daemon is one process of the scheduler.
 type Daemon struct {
 	settings *platform.Settings
+	options  Options
 	log      zerolog.Logger
 	writer   *logWriter
 	decision decisionLog
+	meters   *meters
 
 	store   *platform.Store
 	workers *platform.Workers
@@ -69,20 +73,30 @@
 	stoppedOnce sync.Once
 }
 
+// Options are settings of this project's own.
+type Options struct {
+	// MetricsPort, if not 0, is a port on which metrics are served.
+	MetricsPort int
+	// Seed starts the random draws.
+	Seed uint64
+}
+
 // New returns a daemon that does not run yet. It logs to out.
-func New(settings *platform.Settings, out io.Writer, seed uint64) *Daemon {
+func New(settings *platform.Settings, out io.Writer, opts Options) *Daemon {
 	writer := newLogWriter(out)
 	logger := zerolog.New(writer).With().Timestamp().Str("host", settings.Host).Logger()
 	d := &Daemon{
-		settings: settings, log: logger, writer: writer, decision: decisionLog{log: logger},
+		settings: settings, options: opts, log: logger, writer: writer, decision: decisionLog{log: logger},
+		meters:  newMeters(),
 		store:   platform.NewStore(settings.StoreAddress, storeTimeout),
 		workers: platform.NewWorkers(orderTimeout),
 		advice:  platform.NewAdvice(settings.AdviceAddress),
 		peers:   exchange.NewClient(orderTimeout, peerConnections),
 		waiting: map[scheduler.Token]chan scheduler.Answer{}, stopped: make(chan struct{}),
 	}
+	d.decision.lost = d.meters.logLost
 	reducer := scheduler.New(scheduler.Self{
-		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Power: settings.Power, Seed: seed,
+		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Power: settings.Power, Seed: opts.Seed,
 	}, settings.Limits)
 	d.loop = control.New(control.Config[scheduler.Input, scheduler.Effect]{
 		Step: reducer.Step, Execute: d.execute, Immediate: d.immediate,
@@ -125,6 +139,7 @@
 			}
 		})
 	}
+	d.serveMetrics(ctx, &running)
 	running.Go(func() { d.loop.Run(ctx) })
 	for _, f := range []follower{d.followConfig(), d.followWorkers(), d.followOwner()} {
 		running.Go(func() { d.follow(ctx, f) })
@@ -146,6 +161,29 @@
 	return nil
 }
 
+// serveMetrics serves metrics on a port of their own. Without it they are still
+// served on the balancer's address, so a port that is taken stops nothing.
+func (d *Daemon) serveMetrics(ctx context.Context, running *conc.WaitGroup) {
+	if d.options.MetricsPort == 0 {
+		return
+	}
+	address := net.JoinHostPort(d.settings.Address, strconv.Itoa(d.options.MetricsPort))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		d.log.Warn().Err(err).Str("event", "listener").Str("outcome", "no_metrics_port").Str("address", address).Send()
+		return
+	}
+	router := httprouter.New()
+	router.Handler(http.MethodGet, metricsPath, d.meters)
+	server := d.newServer(router)
+	running.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Warn().Err(err).Str("event", "listener").Str("outcome", "metrics_failed").Send()
+		}
+	})
+	context.AfterFunc(ctx, func() { server.Close() })
+}
+
 // shutdown lets requests in progress end.
 func (d *Daemon) shutdown(servers ...*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
--- a/host/execute.go
+++ b/host/execute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"banyanrun.example/banyanrun/scheduler"
 )
@@ -10,6 +11,7 @@
 func (d *Daemon) immediate(e scheduler.Effect) bool {
 	switch e := e.(type) {
 	case scheduler.Decision:
+		d.meters.decision(e)
 		d.decision.write(e)
 	case scheduler.Reply:
 		d.answer(e)
@@ -75,8 +77,10 @@
 func (d *Daemon) order(ctx context.Context, e scheduler.Effect) {
 	var answer scheduler.Event
 	var err error
+	began, to := time.Now(), "worker"
 	switch e := e.(type) {
 	case scheduler.Hold:
+		to = "worker_hold"
 		answer, err = d.workers.Hold(ctx, e)
 	case scheduler.StartTask:
 		answer, err = d.workers.Start(ctx, e)
@@ -88,8 +92,17 @@
 		d.log.Error().Str("event", "effect").Str("outcome", "unknown").Type("type", e).Send()
 		return
 	}
+	d.meters.call(to, outcomeLabel(err), time.Since(began))
 	if err != nil && ctx.Err() == nil {
-		d.log.Debug().Err(err).Str("event", "call").Str("outcome", "failed").Type("call", e).Send()
+		d.log.Info().Err(err).Str("event", "call").Str("outcome", "failed").Type("call", e).Send()
 	}
 	d.post(ctx, answer)
 }
+
+// outcomeLabel is the value of the label outcome.
+func outcomeLabel(err error) string {
+	if err != nil {
+		return "failed"
+	}
+	return "ok"
+}
--- a/host/joblog.go
+++ b/host/joblog.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
+	"time"
 
 	"banyanrun.example/banyanrun/platform"
 	"banyanrun.example/banyanrun/scheduler"
@@ -119,10 +119,12 @@
 		return answer
 	}
 	key := logKey(e.Group.Sequence)
+	began := time.Now()
 	result := d.store.Change(ctx, platform.Change{
 		Conditions: []platform.Condition{{Key: ownerKey, Revision: e.OwnerRevision}, {Key: key}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
+	d.meters.call("store", outcomeLabel(result.Err), time.Since(began))
 	answer.Outcome = result.Outcome
 	if result.Outcome == scheduler.Conflict {
 		for i := range result.Current {
@@ -190,6 +192,3 @@
 	}
 	return seen, nil
 }
-
-// isWorkerKey reports whether a key is that of a worker's entry.
-func isWorkerKey(key string) bool { return strings.HasPrefix(key, platform.WorkerPrefix) }
--- a/host/logging.go
+++ b/host/logging.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"banyanrun.example/banyanrun/scheduler"
@@ -81,6 +82,7 @@
 	second int64
 	count  int
 	left   int64
+	lost   *metrics.Counter
 }
 
 // frequent are the kinds of decisions of which there is one for each task.
@@ -89,6 +91,9 @@
 // write writes a decision, or counts it as left out.
 func (l *decisionLog) write(d scheduler.Decision) {
 	if second := time.Now().Unix(); second != l.second {
+		if l.left > 0 && l.lost != nil {
+			l.lost.Add(int(l.left))
+		}
 		if l.left > 0 {
 			l.log.Warn().Str("event", "log").Str("outcome", "lines_left_out").Int64("lines", l.left).Send()
 		}
