--- a/ctl/main.go
+++ b/ctl/main.go
@@ -33,6 +33,7 @@
 		{"wait", "wait until jobs have ended", &waitCommand{}},
 		{"cancel", "cancel jobs", &cancelCommand{}},
 		{"explain", "say why a job waits or where it was placed", &explainCommand{}},
+		{"trace", "print a job's path through the logs of hosts on the platform", &traceCommand{}},
 		{"call", "make an interactive request", &callCommand{}},
 		{"hosts", "list the entry hosts", &hostsCommand{}},
 		{"workers", "list the workers", &workersCommand{}},
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -25,6 +25,8 @@
 )
 
 const (
+	// logTimeFormat orders the lines of hosts to the millisecond.
+	logTimeFormat = "2006-01-02T15:04:05.000Z07:00"
 	// tickPeriod is how often the reducer lets time pass. Nothing that a caller
 	// waits for depends on it but retries.
 	tickPeriod = 50 * time.Millisecond
@@ -83,6 +85,7 @@
 
 // New returns a daemon that does not run yet. It logs to out.
 func New(settings *platform.Settings, out io.Writer, opts Options) *Daemon {
+	zerolog.TimeFieldFormat = logTimeFormat
 	writer := newLogWriter(out)
 	logger := zerolog.New(writer).With().Timestamp().Str("host", settings.Host).Logger()
 	d := &Daemon{
