Emulate the platform over HTTP and test hosts against it from end to end

Tests: jobs from end to end, bad requests, killed and stopped hosts, a restarted worker, a store that is down or loses answers, a new configuration.

--- a/host/daemon.go
+++ b/host/daemon.go
@@ -49,6 +49,9 @@
 	shutdownTimeout = 1500 * time.Millisecond
 )
 
+// The format of times is a setting of the whole process in zerolog.
+func init() { zerolog.TimeFieldFormat = logTimeFormat }
+
 // Daemon is one process of the scheduler.
 type Daemon struct {
 	settings *platform.Settings
@@ -85,7 +88,6 @@
 
 // New returns a daemon that does not run yet. It logs to out.
 func New(settings *platform.Settings, out io.Writer, opts Options) *Daemon {
-	zerolog.TimeFieldFormat = logTimeFormat
 	writer := newLogWriter(out)
 	logger := zerolog.New(writer).With().Timestamp().Str("host", settings.Host).Logger()
 	d := &Daemon{
--- /dev/null
+++ b/host/daemon_test.go
@@ -0,0 +1,268 @@
+package host_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"banyanrun.example/banyanrun/host"
+	"banyanrun.example/banyanrun/platform"
+	"banyanrun.example/banyanrun/platform/emulator"
+)
+
+// giveUp bounds waits for what must happen. It is far above the seconds that a
+// takeover takes, so that only a fault reaches it.
+const giveUp = 60 * time.Second
+
+const configuration = `{"version":%d,"routes":[
+{"name":"q","host":"jobs.example","prefix":"/q/","kind":"non_idempotent","timeout_ms":3000,"slo_ms":500,"priority":0,
+ "service":"emulated","attempts":3,"stretch":1.5,"advice":{"decide_ms":1,"period_ms":0.1,"valid_ms":1500}}%s],
+"services":[{"name":"emulated","admission_check":false}],"limits":{"max_body_bytes":262144}}`
+
+// cluster is an emulated platform with hosts in this process.
+type cluster struct {
+	t     *testing.T
+	world *emulator.Server
+	hosts []*node
+}
+
+// node is one host, which can be stopped and started again at its addresses.
+type node struct {
+	settings *platform.Settings
+	log      *lockedBuffer
+	daemon   *host.Daemon
+	cancel   context.CancelFunc
+	done     chan struct{}
+}
+
+func startCluster(t *testing.T, hosts, workers int) *cluster {
+	t.Helper()
+	world, err := emulator.Start(workers, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cluster{t: t, world: world}
+	world.Post(emulator.Event{Put: "op/config", Value: fmt.Appendf(nil, configuration, 1, "")})
+	for i := range hosts {
+		n := &node{settings: settings(t, world, i)}
+		c.hosts = append(c.hosts, n)
+		n.start(t)
+	}
+	t.Cleanup(func() {
+		for _, n := range c.hosts {
+			n.kill()
+		}
+		if broken := world.Close(); len(broken) > 0 {
+			t.Errorf("broken at the workers: %v", broken)
+		}
+	})
+	return c
+}
+
+// settings returns the settings of a host, read from a settings file's text.
+func settings(t *testing.T, world *emulator.Server, i int) *platform.Settings {
+	t.Helper()
+	ports := freePorts(t, 3)
+	text := fmt.Sprintf(`
+node_name: "host-%d"
+ip: "127.0.0.1"
+zone: "z"
+region: "r"
+listen:
+  front: "127.0.0.1:%d"
+  ready: "127.0.0.1:%d"
+port_range: [%d, %d]
+heartbeat_ms: 1500
+limits: {memory_mb: 0, cpu_share: 0.4, cores: 1}
+bounds: {grace_s: 6, max_hold_ms: 6000, stop_grace_ms: 400, gang_timeout_ms: 3000, early_ms: 250, status_s: 120, remote_penalty: 2, harm_ms: 4000}
+advice: "%s"
+platform: {address: "%s", value_bytes: 1048576, min_ttl_ms: 1000}
+unknown_field: 1
+`, i, ports[0], ports[1], ports[2], ports[2], world.AdviceAddress(), world.StoreAddress())
+	s, err := platform.ParseSettings([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func freePorts(t *testing.T, n int) []int {
+	t.Helper()
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
+}
+
+func (n *node) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.log = &lockedBuffer{}
+	n.daemon = host.New(n.settings, n.log, host.Options{Seed: uint64(len(n.settings.Host))})
+	n.cancel, n.done = cancel, make(chan struct{})
+	done, daemon := n.done, n.daemon
+	go func() {
+		defer close(done)
+		if err := daemon.Run(ctx); err != nil {
+			t.Errorf("host %s: %v", n.settings.Host, err)
+		}
+	}()
+}
+
+// kill ends the host without a handover.
+func (n *node) kill() {
+	n.cancel()
+	<-n.done
+}
+
+// call makes a request at a host.
+func (c *cluster) call(i int, method, path string, body []byte) (int, []byte) {
+	req, err := http.NewRequest(method, "http://"+c.hosts[i].settings.CallerAddress+path, bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Host = "jobs.example"
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, text
+}
+
+// until repeats a request at the hosts in turn until it is answered as wanted.
+func (c *cluster) until(what string, first int, ask func(host int) bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(giveUp)
+	for i := first; ; i++ {
+		if ask(i % len(c.hosts)) {
+			return
+		}
+		if time.Now().After(deadline) {
+			for _, n := range c.hosts {
+				c.t.Log(n.log.String())
+			}
+			c.t.Fatalf("%s did not happen", what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+const jobBody = `{"spec":"x","steps":[{"count":3,"cpu":1000,"mem_mb":100,"estimate_ms":200},{"count":2,"cpu":500,"mem_mb":100,"estimate_ms":200,"after":[0]}]}`
+
+func (c *cluster) submit(i int, id string) {
+	c.until("acceptance of "+id, i, func(h int) bool {
+		status, _ := c.call(h, http.MethodPost, "/q/"+id, []byte(jobBody))
+		return status == http.StatusOK
+	})
+}
+
+func (c *cluster) complete(i int, id string) {
+	c.until("completion of "+id, i, func(h int) bool {
+		status, text := c.call(h, http.MethodGet, "/q/"+id, nil)
+		var state struct {
+			State string `json:"state"`
+		}
+		return status == http.StatusOK && json.Unmarshal(text, &state) == nil && state.State == "complete"
+	})
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+// TestJobsOnThePlatform guards against a path that does not work from end to end
+// over HTTP: jobs, their state, queues, cancellation and bad requests.
+func TestJobsOnThePlatform(t *testing.T) {
+	c := startCluster(t, 2, 3)
+	for n := range 6 {
+		c.submit(n, jobID(n))
+	}
+	for n := range 6 {
+		c.complete(n+1, jobID(n))
+	}
+	c.submit(0, jobID(100))
+	c.until("cancellation", 1, func(h int) bool {
+		status, _ := c.call(h, http.MethodDelete, "/q/"+jobID(100), nil)
+		return status == http.StatusOK
+	})
+	for _, test := range []struct {
+		name, method, path, body string
+		want                     int
+	}{
+		{"an unknown job is gone", http.MethodGet, "/q/" + jobID(999), "", http.StatusGone},
+		{"an unknown queue does not exist", http.MethodPost, "/none/" + jobID(1), jobBody, http.StatusNotFound},
+		{"a queue tells its length", http.MethodGet, "/q/", "", http.StatusOK},
+		{"half a body", http.MethodPost, "/q/" + jobID(7), jobBody[:40], http.StatusBadRequest},
+		{"an id of another form", http.MethodPost, "/q/xyz", jobBody, http.StatusBadRequest},
+		{"a step that names a later one", http.MethodPost, "/q/" + jobID(8), `{"spec":"","steps":[{"count":1,"after":[1]},{"count":1}]}`, http.StatusBadRequest},
+		{"a payload that is too long", http.MethodPost, "/q/" + jobID(9), `{"spec":"` + strings.Repeat("x", 4001) + `","steps":[{"count":1}]}`, http.StatusBadRequest},
+		{"a body that is too long", http.MethodPost, "/q/" + jobID(9), `{"spec":"` + strings.Repeat("x", 300000) + `"}`, http.StatusRequestEntityTooLarge},
+		{"a wrong type", http.MethodPost, "/q/" + jobID(10), `{"spec":1,"steps":[]}`, http.StatusBadRequest},
+		{"a task that fits no worker is refused", http.MethodPost, "/q/" + jobID(11), `{"spec":"","steps":[{"count":1,"cpu":999999}]}`, http.StatusTooManyRequests},
+		{"a method that does not exist", "PATCH", "/q/" + jobID(12), "", http.StatusMethodNotAllowed},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got, text := c.call(0, test.method, test.path, []byte(test.body)); got != test.want {
+				t.Errorf("status %d, want %d: %s", got, test.want, text)
+			}
+		})
+	}
+}
+
+// TestJobsSurviveTheirHosts guards against jobs that are lost or done twice when
+// hosts are killed or stopped, a worker starts anew and the store is away.
+func TestJobsSurviveTheirHosts(t *testing.T) {
+	c := startCluster(t, 3, 4)
+	const jobs = 24
+	for n := range jobs {
+		switch n {
+		case 6:
+			c.hosts[0].kill()
+			c.hosts[0].start(t)
+		case 10:
+			c.world.Post(emulator.Event{Crash: 2})
+		case 14:
+			c.world.Post(emulator.Event{Faults: &emulator.Faults{Down: true}})
+			time.Sleep(300 * time.Millisecond)
+			c.world.Post(emulator.Event{Faults: &emulator.Faults{LoseAnswers: 3}})
+		case 18:
+			c.hosts[1].daemon.Stop(context.Background())
+			<-c.hosts[1].done
+			c.hosts[1].start(t)
+		}
+		c.submit(n, jobID(n))
+	}
+	for n := range jobs {
+		c.complete(n, jobID(n))
+	}
+}
+
+// TestNewConfigurationComesIntoForce guards against hosts that keep an old
+// configuration.
+func TestNewConfigurationComesIntoForce(t *testing.T) {
+	c := startCluster(t, 2, 2)
+	c.submit(0, jobID(1))
+	added := `,{"name":"new","host":"jobs.example","prefix":"/new/","service":"emulated","attempts":1,"stretch":2,"slo_ms":100}`
+	c.world.Post(emulator.Event{Put: "op/config", Value: fmt.Appendf(nil, configuration, 5, added)})
+	for h := range c.hosts {
+		c.until("the new queue", 0, func(int) bool {
+			status, _ := c.call(h, http.MethodGet, "/new/", nil)
+			return status == http.StatusOK
+		})
+	}
+}
