--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -32,7 +32,7 @@
 }
 
 // purePackages are the packages that hold reducers, by their folder.
-var purePackages = []string{"core", "standin/store", "standin/worker"}
+var purePackages = []string{"core", "scheduler", "standin/store", "standin/worker"}
 
 // ownPackages of this module may be used by reducers: they hold types alone.
 const module = "banyanrun.example/banyanrun/"
