Repeat slow writes beside the first, and rest after all relays have failed

Cause: a store that answers in over a second was given up after 1.2 s again and again, and in an outage of the whole store the owner went through the other hosts ten times a second.

--- a/host/daemon.go
+++ b/host/daemon.go
@@ -32,9 +32,10 @@
 	tickPeriod = 50 * time.Millisecond
 	// mailbox is the number of events that may wait for the reducer.
 	mailbox = 4096
-	// storeTimeout bounds a call to the store. It answers in 4 ms, and in up to
-	// 250 ms when it is slow.
-	storeTimeout = 1200 * time.Millisecond
+	// storeTimeout bounds a call to the store. It answers in 4 ms, and in more
+	// than a second when it is very slow. Calls that are urgent are repeated
+	// sooner.
+	storeTimeout = 2500 * time.Millisecond
 	// orderTimeout bounds an order to a worker: two round trips between regions
 	// and a wait on a busy machine.
 	orderTimeout = 700 * time.Millisecond
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -53,6 +53,10 @@
 	// writeRetry is the wait before a write in doubt is repeated. It is short,
 	// since callers wait for it, and a repeated write has the same content.
 	writeRetry = 200 * msec
+	// writeHedge is when a write without an answer is sent once more beside the
+	// first one. The answer of a slow store may still come; that of a broken
+	// connection does not.
+	writeHedge = 700 * msec
 	// callerFlush is how long records that a caller waits for are collected, and
 	// endFlush the others. They bound the store's calls to some 30 a second, and
 	// are small against the shortest objective of 500 ms.
@@ -73,6 +77,9 @@
 	// inFlight is the group being written, if any.
 	inFlight *Group
 	retryAt  Time
+	// refused means that the last write in flight got an answer that it was not
+	// made, or none.
+	refused bool
 	// appended and durable count the records that were added and those that are
 	// in the store. notes are in the order of the records they wait for.
 	appended, durable int64
@@ -114,7 +121,7 @@
 	w := &c.log
 	if w.inFlight != nil {
 		if w.retryAt != 0 && c.now >= w.retryAt {
-			w.retryAt = 0
+			w.retryAt = c.now.Add(writeHedge)
 			c.emit(WriteGroup{Group: *w.inFlight, OwnerRevision: c.revision, Via: c.relay.via})
 		}
 		return
@@ -139,6 +146,7 @@
 	g := &Group{Sequence: w.next, Generation: c.generation, Records: w.pending[:n:n]}
 	w.pending = w.pending[n:]
 	w.inFlight = g
+	w.retryAt = c.now.Add(writeHedge)
 	c.emit(WriteGroup{Group: *g, OwnerRevision: c.revision, Via: c.relay.via})
 }
 
@@ -156,7 +164,7 @@
 func (c *cell) groupDurable() {
 	w := &c.log
 	g := w.inFlight
-	w.inFlight = nil
+	w.inFlight, w.refused = nil, false
 	w.next = g.Sequence + 1
 	if g.SnapshotLast {
 		c.deleteBefore(w.cutAt)
@@ -206,6 +214,7 @@
 	w.snapshot = w.snapshot[1:]
 	g.Sequence = w.next
 	w.inFlight = &g
+	w.retryAt = c.now.Add(writeHedge)
 	c.emit(WriteGroup{Group: g, OwnerRevision: c.revision, Via: c.relay.via})
 }
 
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -257,9 +257,11 @@
 	case e.Taken:
 		c.r.stepDown("another owner has written to the log")
 	case e.Lost:
+		w.refused = true
 		w.retryAt = c.now.Add(writeRetry)
 		c.r.loseLease("the owner record has changed")
 	default:
+		w.refused = true
 		w.retryAt = c.now.Add(writeRetry)
 		c.decide(Decision{Kind: "log", Outcome: "write_failed", Fields: []Field{
 			{"sequence", e.Sequence}, {"records", int64(len(w.inFlight.Records))}, {"in_doubt", boolField(e.Outcome == InDoubt)}}})
--- a/scheduler/relay.go
+++ b/scheduler/relay.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// relayRetryDirect is how often an owner that uses a relay tries the store
-	// itself again.
-	relayRetryDirect = 3 * time.Second
+	// relayRest is how long only the direct way is tried after every host has
+	// failed to reach the store.
+	relayRest = 1 * time.Second
 	// handoverAfter is how long an owner may depend on a relay before it hands
 	// the ownership to a host that reaches the store itself: it learns of
 	// changed workers and configurations late.
@@ -28,6 +28,10 @@
 	// works means that the last call through the relay was answered.
 	works bool
 	next  int
+	// tried counts the hosts that failed in a row. After all of them only the
+	// direct way is tried until restUntil.
+	tried     int
+	restUntil Time
 }
 
 // storeFailed reacts to a call to the store that was refused or not answered.
@@ -40,7 +44,15 @@
 		l.since = c.now
 	}
 	l.works = false
+	if c.now < l.restUntil {
+		l.via = ""
+		return
+	}
 	l.via = c.nextRelay()
+	if l.tried++; l.tried > len(c.advisers) {
+		// No host reaches the store.
+		l.tried, l.restUntil, l.via = 0, c.now.Add(relayRest), ""
+	}
 	c.decide(Decision{Kind: "store", Outcome: "relay_chosen", Reason: l.via})
 }
 
@@ -50,6 +62,7 @@
 	if via == "" && l.via == "" {
 		l.since = 0
 	}
+	l.tried = 0
 	if via == l.via && via != "" {
 		l.works = true
 	}
