Write each start to the log before it is ordered, and quiesce for handovers

Change: a start is recorded with its worker before it is ordered, so a successor knows each run that there may be, and waits for the workers of these runs only. A handover begins nothing new for at most a second.

--- a/entry/operationspage_test.go
+++ b/entry/operationspage_test.go
@@ -53,7 +53,7 @@
 // Guards against alert rules on metrics that do not exist, which would never
 // fire, and against metrics that operators cannot look up.
 func TestOperationsPageNamesTheMetrics(t *testing.T) {
-	data, err := os.ReadFile("../docs/operations.md")
+	data, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -78,7 +78,7 @@
 // Guards against an alert rule without a row that says what to do, and a row
 // without a rule.
 func TestOperationsPageExplainsTheAlarms(t *testing.T) {
-	data, err := os.ReadFile("../docs/operations.md")
+	data, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -23,6 +23,10 @@
 	timed []*occurrence
 	held  map[WorkerID]bool
 	dirty bool
+	// starts and planned are the starts that are not in the log yet, and the
+	// orders that follow.
+	starts  []StartRecord
+	planned []func()
 	// largest is the largest amount of each resource that is free on a worker.
 	largest    Resources
 	lastPass   Time
@@ -41,7 +45,11 @@
 	calls       uint64
 	timers      []timer
 	relay       relay
-	lastForget  Time
+	// handingOver means that the ownership is about to be given back.
+	handingOver  bool
+	handingSince Time
+	handingWhy   string
+	lastForget   Time
 }
 
 // timer runs a function at a time.
@@ -65,7 +73,7 @@
 func (c *cell) decide(d Decision)               { c.r.emit(d) }
 func (c *cell) reply(t Token, a Answer)         { c.r.reply(t, a) }
 func (c *cell) queue(name QueueName) *Queue     { return c.r.queue(name) }
-func (c *cell) mayStart() bool                  { return c.r.leaseValid() }
+func (c *cell) mayStart() bool                  { return c.r.leaseValid() && !c.handingOver }
 func (c *cell) mayHold() bool                   { return c.r.holdAllowed() }
 func (c *cell) fenced(worker WorkerID)          { c.r.fenced(worker) }
 func (c *cell) later(d time.Duration, f func()) { c.timers = append(c.timers, timer{c.now.Add(d), f}) }
@@ -127,7 +135,6 @@
 		}
 	}
 	for _, j := range c.jobList {
-		j.inherited = true
 		if j.cancelled && !j.state.final() {
 			c.endJob(j, JobCancelled)
 		}
@@ -181,25 +188,6 @@
 	}
 	c.inheritedSettled = true
 	c.dirty = true
-	c.stopPartialGangs()
 	c.decide(Decision{Kind: "recovery", Outcome: "settled", Fields: []Field{
 		{"took_ms", c.now.Sub(c.claimed).Milliseconds()}, {"jobs", int64(len(c.jobs))}, {"workers", int64(len(c.workers))}}})
 }
-
-// stopPartialGangs stops the members of gangs some of which are gone.
-func (c *cell) stopPartialGangs() {
-	for _, j := range c.jobList {
-		for _, o := range j.occurrences {
-			for _, s := range o.stages {
-				if !s.step.Gang || s.waiting == 0 || s.waiting == len(s.tasks) || s.done > 0 {
-					continue
-				}
-				for _, t := range s.tasks {
-					if t.run != nil {
-						c.stopRun(t.run)
-					}
-				}
-			}
-		}
-	}
-}
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -20,8 +20,6 @@
 	// state is shown once it is in the store.
 	state, shown JobState
 	cancelled    bool
-	// inherited means that an earlier owner may have started tasks of the job.
-	inherited bool
 	// begun means that some task has started.
 	begun bool
 	// finalWall is when the job ended, in milliseconds since 1970.
@@ -165,6 +163,9 @@
 			}
 			for _, t := range s.tasks {
 				rec.Ends = append(rec.Ends, t.endRecords()...)
+				if t.run != nil {
+					rec.Starts = append(rec.Starts, StartRecord{o.index, s.index, t.index, t.run.number, t.run.worker.info.ID})
+				}
 			}
 		}
 	}
@@ -195,6 +196,10 @@
 	if t.state == taskDone || t.checkpoint != "" {
 		e := base
 		e.Run, e.Kind, e.Checkpoint = t.lastRun, EndStopped, t.checkpoint
+		if t.run != nil {
+			// The checkpoint is that of an earlier run; the present one goes on.
+			e.Run = t.run.number - 1
+		}
 		if t.state == taskDone {
 			e.Kind, e.Checkpoint = EndDone, ""
 		}
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -43,6 +43,9 @@
 	}
 	t := s.tasks[e.Index]
 	t.lastRun = max(t.lastRun, e.Run)
+	if t.run != nil && t.run.state == runInherited && t.run.number <= e.Run {
+		c.replaceRun(t)
+	}
 	if e.Checkpoint != "" && s.step.Checkpointing {
 		c.applyCheckpoint(s, t, e.Checkpoint)
 	}
@@ -91,6 +94,10 @@
 	if t.state == taskWaiting {
 		t.stage.waiting--
 	}
+	if t.run != nil && t.run.state == runInherited {
+		c.releaseRun(t.run)
+		t.detach(t.run)
+	}
 	t.state = taskDone
 	t.checkpoint = ""
 	t.stage.done++
@@ -209,6 +216,10 @@
 func (c *cell) stopJob(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
+			if s.step.Gang && s.done == len(s.tasks) {
+				// The members end by themselves.
+				continue
+			}
 			for _, t := range s.tasks {
 				if t.run != nil {
 					c.stopRun(t.run)
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -10,6 +10,9 @@
 	Spec     *JobSpec  `json:"spec,omitempty"`
 	// Ends are ends of runs of the job's tasks.
 	Ends []EndRecord `json:"ends,omitempty"`
+	// Starts are runs that are about to be ordered. A successor has to assume
+	// that they run.
+	Starts []StartRecord `json:"starts,omitempty"`
 	// Cancelled records the caller's wish, Final the last state of the job.
 	Cancelled bool     `json:"cancel,omitempty"`
 	Final     JobState `json:"final,omitempty"`
@@ -21,6 +24,15 @@
 	WorkerGone WorkerID    `json:"worker_gone,omitempty"`
 }
 
+// StartRecord is a run that a worker may have.
+type StartRecord struct {
+	Occurrence int      `json:"o,omitempty"`
+	Step       int      `json:"s,omitempty"`
+	Index      int      `json:"i,omitempty"`
+	Run        int64    `json:"r"`
+	Worker     WorkerID `json:"w"`
+}
+
 // EndRecord is the end of a run.
 type EndRecord struct {
 	Occurrence int     `json:"o,omitempty"`
@@ -276,7 +288,7 @@
 			w.recorded, w.announced = true, true
 			continue
 		case rec.WorkerGone != "":
-			delete(c.workers, rec.WorkerGone)
+			c.forgetWorker(rec.WorkerGone)
 			continue
 		}
 		j := c.jobs[rec.Job]
@@ -291,6 +303,9 @@
 		if j == nil {
 			continue
 		}
+		for _, s := range rec.Starts {
+			c.applyStart(j, s)
+		}
 		for _, e := range rec.Ends {
 			c.applyEnd(j, e)
 		}
@@ -302,3 +317,46 @@
 		}
 	}
 }
+
+// applyStart repeats the start of a run. Whether it still runs, its worker tells.
+func (c *cell) applyStart(j *job, s StartRecord) {
+	t := c.find(TaskID{j.id, s.Occurrence, s.Step, s.Index})
+	w := c.workers[s.Worker]
+	if t == nil || t.state == taskDone {
+		return
+	}
+	t.lastRun = max(t.lastRun, s.Run)
+	t.stage.gangRun = max(t.stage.gangRun, s.Run)
+	j.begun = true
+	if w == nil {
+		return
+	}
+	c.replaceRun(t)
+	c.attach(t, w, s.Run).state = runInherited
+}
+
+// replaceRun drops the runs of a task that a later record shows to have ended.
+func (c *cell) replaceRun(t *task) {
+	for _, r := range []*run{t.run, t.copy} {
+		if r != nil && !t.stage.step.Speculative {
+			c.releaseRun(r)
+			t.detach(r)
+		}
+	}
+	if t.state == taskAssigned && t.run == nil {
+		t.state = taskWaiting
+		t.stage.waiting++
+	}
+}
+
+// forgetWorker drops a worker on which nothing runs any more.
+func (c *cell) forgetWorker(id WorkerID) {
+	if w := c.workers[id]; w != nil {
+		for _, r := range w.sortedRuns() {
+			if t := r.task; t != nil {
+				c.replaceRun(t)
+			}
+		}
+		delete(c.workers, id)
+	}
+}
--- a/scheduler/log_test.go
+++ b/scheduler/log_test.go
@@ -53,3 +53,24 @@
 		t.Errorf("%d notes ran after a group of %d records", ran, maxGroupRecords)
 	}
 }
+
+// TestSnapshotKeepsRunsWithCheckpoints guards against a successor that starts a
+// task again although a run of it goes on, because its checkpoint is recorded as
+// the end of a run.
+func TestSnapshotKeepsRunsWithCheckpoints(t *testing.T) {
+	w := newWorld(t, 5, 1, 1)
+	w.run(time.Second)
+	c := w.owner().r.cell
+	j := c.addJob("00000000000000aa", "batch", &JobSpec{Steps: []Step{{Count: 1, Checkpointing: true}}}, w.wall())
+	j.durable = true
+	task := j.occurrences[0].stages[0].tasks[0]
+	c.applyEnd(j, EndRecord{Run: 1, Kind: EndFailed, Checkpoint: "half"})
+	c.attach(task, c.workers["w00"], 2)
+	restored := newCell(c.r)
+	info := c.workers["w00"].info
+	restored.applyRecords(append([]Record{{Worker: &info}}, j.records()...))
+	got := restored.find(task.id())
+	if got.run == nil || got.run.number != 2 || got.checkpoint != "half" || got.failures != 1 {
+		t.Errorf("restored task %+v", got)
+	}
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -145,7 +145,9 @@
 		}
 	case phaseOwner:
 		r.advanceLease()
-		if r.cell != nil {
+		if r.cell != nil && r.cell.handingOver {
+			r.cell.advanceHandover()
+		} else if r.cell != nil {
 			r.cell.advanceRelay()
 		}
 		if r.cell != nil && r.leaseValid() {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,7 +43,7 @@
 			keep = append(keep, s)
 			continue
 		}
-		if examined <= maxExamined && c.mayRestart(s) {
+		if examined <= maxExamined {
 			if !s.job.durable {
 				c.wantAdvice(s)
 			} else if s.step.Gang {
@@ -54,6 +54,7 @@
 				c.placeTasks(s)
 			}
 		}
+		c.recordStarts(s.job)
 		if s.waiting == 0 {
 			s.queued = false
 			continue
@@ -64,13 +65,6 @@
 	c.ready = keep
 }
 
-// mayRestart reports whether a task of the stage cannot run unknown to this
-// owner. A job that an earlier owner accepted may run on any worker that has not
-// answered yet.
-func (c *cell) mayRestart(s *stage) bool {
-	return !s.job.inherited || c.inheritedSettled
-}
-
 // refreshFleet lists the workers in the order in which tasks are packed: fast
 // workers first, and of those the fuller ones, so that wide gangs find empty
 // workers.
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -45,6 +45,10 @@
 func (r *Reducer) serve(token Token, q *request) {
 	o := &r.owner
 	switch {
+	case r.cell != nil && r.cell.handingOver && q.forwarded:
+		r.reply(token, Answer{Status: StatusUnavailable, Reason: ReasonOwnerLost, RetryAfter: forwardRetry})
+	case r.cell != nil && r.cell.handingOver:
+		q.retryAt = r.now.Add(forwardRetry)
 	case r.cell != nil && (r.leaseValid() || q.forwarded):
 		q.atCell = r.cell
 		r.cell.request(q.event)
@@ -250,10 +254,8 @@
 	if !r.stopping {
 		return
 	}
-	if c := r.cell; c != nil && c.log.inFlight == nil && len(c.log.pending) == 0 {
-		r.emit(EndLease{Lease: r.owner.lease, Via: c.relay.via})
-		r.stepDown("this host is stopping")
-		r.owner.known = false
+	if r.cell != nil {
+		r.cell.handOver("this host is stopping")
 	}
 	if r.now >= r.stopAt && len(r.requests) == 0 {
 		r.emit(Stopped{})
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -19,12 +19,49 @@
 		cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index), cmp.Compare(runA, runB))
 }
 
-// start orders a worker to start a task.
+// start assigns a task to a worker. The order is sent once the start is in the
+// log: a successor then knows of each run that there may be.
 func (c *cell) start(t *task, w *worker, number int64, ticket string) {
+	r := c.attach(t, w, number)
+	s := t.stage
+	c.starts = append(c.starts, StartRecord{s.occ.index, s.index, t.index, number, w.info.ID})
+	life := w.life
+	c.planned = append(c.planned, func() {
+		if w.runs[runKey{r.id, r.number}] != r || r.state != runPlanned {
+			return
+		}
+		if !c.mayStart() || w.life != life || !w.contacted || w.info.Draining || r.unwanted || s.job.ending() {
+			c.startRefused(r, OrderInvalid)
+			return
+		}
+		r.state = runStarting
+		r.ordered = c.now
+		c.sendStart(r, ticket)
+	})
+}
+
+// recordStarts writes down the starts of a job that were planned since the last
+// call, and sends the orders once they are durable.
+func (c *cell) recordStarts(j *job) {
+	if len(c.starts) == 0 {
+		return
+	}
+	c.record(Record{Job: j.id, Starts: c.starts}, true)
+	planned := c.planned
+	c.starts, c.planned = nil, nil
+	c.whenDurable(func() {
+		for _, f := range planned {
+			f()
+		}
+	})
+}
+
+// attach creates a run and counts it against its worker.
+func (c *cell) attach(t *task, w *worker, number int64) *run {
 	s := t.stage
 	r := &run{
 		task: t, id: t.id(), number: number, worker: w, charge: s.step.charge(),
-		ordered: c.now, pace: 100, expected: c.expectedDuration(s),
+		state: runPlanned, ordered: c.now, pace: 100, expected: c.expectedDuration(s),
 	}
 	if t.run == nil {
 		t.run = r
@@ -39,7 +76,7 @@
 	s.job.begun = true
 	w.runs[runKey{r.id, r.number}] = r
 	w.used.add(r.charge)
-	c.sendStart(r, ticket)
+	return r
 }
 
 // sendStart sends the order of a run.
@@ -125,7 +162,7 @@
 
 // runConfirmed notes that the worker has the run.
 func (c *cell) runConfirmed(r *run) {
-	if r.state == runStarting || r.state == runDoubted {
+	if r.state == runStarting || r.state == runDoubted || r.state == runInherited {
 		r.state = runActive
 		if r.settled == 0 {
 			r.settled = c.now
@@ -146,7 +183,7 @@
 // that it is gone.
 func (c *cell) stopRun(r *run) {
 	r.unwanted = true
-	if r.state == runStarting || r.state == runStopping || r.stopSent {
+	if r.state == runPlanned || r.state == runStarting || r.state == runStopping || r.stopSent {
 		// The answer to the start comes first; a stop could overtake it.
 		return
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -33,6 +33,10 @@
 const (
 	// runStarting means that the order to start has not been answered.
 	runStarting runState = iota
+	// runPlanned means that the start is being written to the log.
+	runPlanned
+	// runInherited means that an earlier owner may have ordered the run.
+	runInherited
 	runActive
 	// runDoubted means that nobody knows whether the order has arrived.
 	runDoubted
@@ -360,6 +364,10 @@
 		return
 	}
 	w.hold.inFlight = false
+	if c.handingOver {
+		// The next owner reads what the worker lists.
+		return
+	}
 	if e.Fenced {
 		c.fenced(w.info.ID)
 		return
@@ -517,7 +525,7 @@
 	if a.Checkpoint != "" && a.Checkpoint != r.checkpoint {
 		r.checkpoint = a.Checkpoint
 	}
-	if r.state == runDoubted || r.state == runStarting {
+	if r.state == runDoubted || r.state == runStarting || r.state == runInherited {
 		c.runConfirmed(r)
 	}
 	if r.state == runStopping && !r.stopSent {
@@ -527,7 +535,16 @@
 
 // runMissing handles a run that the worker does not list.
 func (c *cell) runMissing(r *run) {
-	if r.worker.hold.sent <= r.settled || r.state == runStarting {
+	if r.state == runPlanned || r.state == runStarting {
+		return
+	}
+	if r.state == runInherited {
+		// The worker obeys this owner since it has answered, so an order of an
+		// earlier one has no effect any more.
+		c.runEnded(r, EndLost, "")
+		return
+	}
+	if r.worker.hold.sent <= r.settled {
 		return
 	}
 	switch {
