Let late work yield, look at workers with room only, and use agents for large fleets

Cause: in a flood every late job went before the ones that could still be in time, which made all late; each pass looked at every worker for every waiting stage; the owner's calls to 350 workers used up its processor; and a run that was planned on an idle worker was given up because that worker's lease had ended long ago. Change: stages that can still be in time go first, the late ones every eighth pass; passes look at the workers that have room for some ready task; from 100 workers on, a host of the worker's data centre makes the calls, in batches of 25 ms; a planned run counts with a new lease. Tests: TestIdleWorkerKeepsPlannedRuns.

--- /dev/null
+++ b/host/agent.go
@@ -0,0 +1,222 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"banyanrun.example/banyanrun/scheduler"
+)
+
+const (
+	// batchDelay is how long messages to a host are collected.
+	batchDelay = 25 * time.Millisecond
+	// maxBatch bounds a batch; its payloads of up to 4,000 bytes each stay far
+	// below maxPeerBytes.
+	maxBatch = 200
+	// agentSlack is added to the time that a call to a worker may take, for the
+	// way to its agent and back.
+	agentSlack = 500 * time.Millisecond
+)
+
+// workerOrder is a call to a worker that its agent makes. One of its fields
+// besides ID is set.
+type workerOrder struct {
+	ID    uint64               `json:"id"`
+	Hold  *scheduler.Hold      `json:"hold,omitempty"`
+	Start *scheduler.StartTask `json:"start,omitempty"`
+	Stop  *scheduler.StopTask  `json:"stop,omitempty"`
+	Pace  *scheduler.SetPace   `json:"pace,omitempty"`
+}
+
+// effect returns the call as the effect that it was.
+func (o *workerOrder) effect() scheduler.Effect {
+	switch {
+	case o.Hold != nil:
+		return *o.Hold
+	case o.Start != nil:
+		return *o.Start
+	case o.Stop != nil:
+		return *o.Stop
+	case o.Pace != nil:
+		return *o.Pace
+	}
+	return nil
+}
+
+// workerResult is the answer to a workerOrder.
+type workerResult struct {
+	ID    uint64                   `json:"id"`
+	Hold  *scheduler.HoldAnswered  `json:"hold,omitempty"`
+	Start *scheduler.StartAnswered `json:"start,omitempty"`
+	Stop  *scheduler.StopAnswered  `json:"stop,omitempty"`
+	Pace  *scheduler.PaceAnswered  `json:"pace,omitempty"`
+}
+
+// event returns the answer as an event, or nil if there is none.
+func (r *workerResult) event() scheduler.Event {
+	switch {
+	case r.Hold != nil:
+		return *r.Hold
+	case r.Start != nil:
+		return *r.Start
+	case r.Stop != nil:
+		return *r.Stop
+	case r.Pace != nil:
+		return *r.Pace
+	}
+	return nil
+}
+
+type orderBatch struct {
+	// ReplyTo is the address to which the results go.
+	ReplyTo string        `json:"reply_to"`
+	Orders  []workerOrder `json:"orders"`
+}
+
+type resultBatch struct {
+	Results []workerResult `json:"results"`
+}
+
+// outbox collects messages for each host and sends them in batches.
+type outbox[M any] struct {
+	mu      sync.Mutex
+	waiting map[string][]M
+	send    func(ctx context.Context, address string, batch []M)
+}
+
+func newOutbox[M any](send func(context.Context, string, []M)) *outbox[M] {
+	return &outbox[M]{waiting: map[string][]M{}, send: send}
+}
+
+// add adds a message. The first one of a batch waits and sends them all, on the
+// goroutine of its effect.
+func (o *outbox[M]) add(ctx context.Context, address string, m M) {
+	o.mu.Lock()
+	first := len(o.waiting[address]) == 0
+	o.waiting[address] = append(o.waiting[address], m)
+	o.mu.Unlock()
+	if !first {
+		return
+	}
+	pause(ctx, batchDelay)
+	o.mu.Lock()
+	all := o.waiting[address]
+	delete(o.waiting, address)
+	o.mu.Unlock()
+	for len(all) > 0 {
+		n := min(len(all), maxBatch)
+		o.send(ctx, address, all[:n])
+		all = all[n:]
+	}
+}
+
+// agents is this host's side of the calls that other hosts make for it.
+type agents struct {
+	mu      sync.Mutex
+	next    uint64
+	pending map[uint64]chan scheduler.Event
+	orders  *outbox[workerOrder]
+	results *outbox[workerResult]
+}
+
+func (d *Daemon) newAgents() *agents {
+	return &agents{
+		pending: map[uint64]chan scheduler.Event{},
+		orders:  newOutbox(d.sendOrders),
+		results: newOutbox(d.sendResults),
+	}
+}
+
+// viaAgent makes a call to a worker through another host. failed is the event
+// that says that nothing is known of the call.
+func (d *Daemon) viaAgent(ctx context.Context, via string, o workerOrder, failed scheduler.Event, timeout time.Duration) scheduler.Event {
+	a := d.agents
+	ch := make(chan scheduler.Event, 1)
+	a.mu.Lock()
+	a.next++
+	o.ID = a.next
+	a.pending[o.ID] = ch
+	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		delete(a.pending, o.ID)
+		a.mu.Unlock()
+	}()
+	a.orders.add(ctx, via, o)
+	timer := time.NewTimer(timeout + agentSlack)
+	defer timer.Stop()
+	select {
+	case e := <-ch:
+		return e
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return failed
+}
+
+// sendOrders sends a batch of orders. Without an answer nothing is known of them,
+// and their own timeouts say so.
+func (d *Daemon) sendOrders(ctx context.Context, address string, batch []workerOrder) {
+	var out struct{}
+	if failure := d.callPeer(ctx, address, pathOrders, orderBatch{d.settings.PeerAddress, batch}, &out, orderTimeout); failure != nil {
+		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "orders_failed").Str("agent", address).Int("orders", len(batch)).Send()
+	}
+}
+
+// sendResults sends a batch of results.
+func (d *Daemon) sendResults(ctx context.Context, address string, batch []workerResult) {
+	var out struct{}
+	if failure := d.callPeer(ctx, address, pathResults, resultBatch{batch}, &out, orderTimeout); failure != nil {
+		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "results_failed").Str("owner", address).Int("results", len(batch)).Send()
+	}
+}
+
+// agentRoutes serves orders for workers and the results of such orders.
+func (d *Daemon) agentRoutes(router *httprouter.Router) {
+	router.POST(pathOrders, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var b orderBatch
+		if !d.readPeer(w, r, &b) {
+			return
+		}
+		for _, o := range b.Orders {
+			d.background.Go(func() { d.carryOut(b.ReplyTo, o) })
+		}
+		d.writePeer(w, struct{}{})
+	})
+	router.POST(pathResults, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		var b resultBatch
+		if !d.readPeer(w, r, &b) {
+			return
+		}
+		for _, result := range b.Results {
+			d.agents.mu.Lock()
+			ch := d.agents.pending[result.ID]
+			delete(d.agents.pending, result.ID)
+			d.agents.mu.Unlock()
+			if e := result.event(); ch != nil && e != nil {
+				ch <- e
+			}
+		}
+		d.writePeer(w, struct{}{})
+	})
+}
+
+// carryOut makes a call to a worker for another host.
+func (d *Daemon) carryOut(replyTo string, o workerOrder) {
+	result := workerResult{ID: o.ID}
+	switch e := d.callWorker(d.running, o.effect()).(type) {
+	case scheduler.HoldAnswered:
+		result.Hold = &e
+	case scheduler.StartAnswered:
+		result.Start = &e
+	case scheduler.StopAnswered:
+		result.Stop = &e
+	case scheduler.PaceAnswered:
+		result.Pace = &e
+	}
+	d.agents.results.add(d.running, replyTo, result)
+}
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -71,6 +71,12 @@
 	config atomic.Pointer[platform.Configuration]
 	ready  atomic.Bool
 
+	agents *agents
+	// running is the context of the daemon's life, background what it does for
+	// other hosts.
+	running    context.Context
+	background conc.WaitGroup
+
 	tokens  atomic.Uint64
 	mu      sync.Mutex
 	waiting map[scheduler.Token]chan scheduler.Answer
@@ -101,6 +107,7 @@
 		waiting: map[scheduler.Token]chan scheduler.Answer{}, stopped: make(chan struct{}),
 	}
 	d.decision.lost = d.meters.logLost
+	d.agents = d.newAgents()
 	reducer := scheduler.New(scheduler.Self{
 		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Power: settings.Power, Seed: opts.Seed,
 	}, settings.Limits)
@@ -122,6 +129,8 @@
 	defer d.writer.Close()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	d.running = ctx
+	defer d.background.Wait()
 	servers := []struct {
 		address string
 		server  *http.Server
--- a/host/execute.go
+++ b/host/execute.go
@@ -73,8 +73,42 @@
 	}
 }
 
-// order carries out an effect that concerns a worker.
+// order carries out an effect that concerns a worker, from this host or through
+// the worker's agent.
 func (d *Daemon) order(ctx context.Context, e scheduler.Effect) {
+	switch o := e.(type) {
+	case scheduler.Hold:
+		if o.Via != "" {
+			failed := scheduler.HoldAnswered{Worker: o.Worker, Call: o.Call, Failed: true}
+			d.post(ctx, d.viaAgent(ctx, o.Via, workerOrder{Hold: &o}, failed, o.Wait+orderTimeout))
+			return
+		}
+	case scheduler.StartTask:
+		if o.Via != "" {
+			failed := scheduler.StartAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Result: scheduler.OrderInDoubt}
+			d.post(ctx, d.viaAgent(ctx, o.Via, workerOrder{Start: &o}, failed, orderTimeout))
+			return
+		}
+	case scheduler.StopTask:
+		if o.Via != "" {
+			failed := scheduler.StopAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Result: scheduler.OrderInDoubt}
+			d.post(ctx, d.viaAgent(ctx, o.Via, workerOrder{Stop: &o}, failed, orderTimeout))
+			return
+		}
+	case scheduler.SetPace:
+		if o.Via != "" {
+			failed := scheduler.PaceAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Result: scheduler.OrderInDoubt}
+			d.post(ctx, d.viaAgent(ctx, o.Via, workerOrder{Pace: &o}, failed, orderTimeout))
+			return
+		}
+	}
+	if answer := d.callWorker(ctx, e); answer != nil {
+		d.post(ctx, answer)
+	}
+}
+
+// callWorker makes a call to a worker from this host.
+func (d *Daemon) callWorker(ctx context.Context, e scheduler.Effect) scheduler.Event {
 	var answer scheduler.Event
 	var err error
 	began, to := time.Now(), "worker"
@@ -90,13 +124,13 @@
 		answer, err = d.workers.Pace(ctx, e)
 	default:
 		d.log.Error().Str("event", "effect").Str("outcome", "unknown").Type("type", e).Send()
-		return
+		return nil
 	}
 	d.meters.call(to, outcomeLabel(err), time.Since(began))
 	if err != nil && ctx.Err() == nil {
 		d.log.Info().Err(err).Str("event", "call").Str("outcome", "failed").Type("call", e).Send()
 	}
-	d.post(ctx, answer)
+	return answer
 }
 
 // outcomeLabel is the value of the label outcome.
--- a/host/peer.go
+++ b/host/peer.go
@@ -20,6 +20,8 @@
 	pathHello   = "/peer/v1/hello"
 	pathAdvice  = "/peer/v1/advice"
 	pathStore   = "/peer/v1/store"
+	pathOrders  = "/peer/v1/orders"
+	pathResults = "/peer/v1/results"
 	// maxPeerBytes bounds a message between hosts.
 	maxPeerBytes = 4 << 20
 )
@@ -85,6 +87,7 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	Power   int64  `json:"power"`
+	Zone    string `json:"zone"`
 }
 
 // adviceRequest is a call of the advice service that another host is to make.
@@ -121,7 +124,7 @@
 			ctx, cancel := context.WithTimeout(r.Context(), orderTimeout)
 			defer cancel()
 			d.writePeer(w, d.await(ctx, func(t scheduler.Token) scheduler.Event {
-				return scheduler.HelloReceived{Host: h.Host, Address: h.Address, Power: h.Power, Token: t}
+				return scheduler.HelloReceived{Host: h.Host, Address: h.Address, Zone: h.Zone, Power: h.Power, Token: t}
 			}))
 		}
 	})
@@ -139,6 +142,7 @@
 			d.writePeer(w, d.relayed(r.Context(), s))
 		}
 	})
+	d.agentRoutes(router)
 	return router
 }
 
@@ -210,7 +214,7 @@
 // hello tells the owner that this host is alive.
 func (d *Daemon) hello(ctx context.Context, h scheduler.Hello) {
 	var out scheduler.Answer
-	message := helloMessage{d.settings.Host, d.settings.PeerAddress, d.settings.Power}
+	message := helloMessage{d.settings.Host, d.settings.PeerAddress, d.settings.Power, d.settings.Zone}
 	if failure := d.callPeer(ctx, h.Address, pathHello, message, &out, orderTimeout); failure != nil {
 		d.log.Info().Err(failure).Str("event", "hello").Str("outcome", "failed").Str("owner", h.Address).Send()
 		return
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -78,6 +78,9 @@
 // adviser is a host through which the advice service is asked.
 type adviser struct {
 	address string
+	zone    string
+	// workers counts the workers for which the host was chosen as the agent.
+	workers int
 	heard   Time
 	power   int64
 	backlog time.Duration
@@ -136,13 +139,18 @@
 func (c *cell) adviceCandidates(s *stage) []*worker {
 	var good, unknown []*worker
 	places := 0
-	for _, w := range c.fleet {
-		if !c.usable(s, w) {
+	candidates := c.withRoom(s)
+	if s.step.Gang && c.gathering < maxGathering {
+		// A gang that is about to get its turn also learns of full workers.
+		candidates = c.fleet
+	}
+	for _, w := range candidates {
+		n := c.placesOn(s, w)
+		if n == 0 && !s.step.Gang || !c.usable(s, w) {
 			continue
 		}
 		o, known := s.advice.of(w)
-		n := c.placesOn(s, w)
-		if known && !o.good || n == 0 && !s.step.Gang {
+		if known && !o.good {
 			continue
 		}
 		if !known {
@@ -268,9 +276,9 @@
 	c.emit(Reply{Token: e.Token, Answer: Answer{MaxPower: c.maxPower()}})
 	for _, a := range c.advisers {
 		if a.address == e.Address {
-			a.heard, a.power = c.now, e.Power
+			a.heard, a.power, a.zone = c.now, e.Power, e.Zone
 			return
 		}
 	}
-	c.advisers = append(c.advisers, &adviser{address: e.Address, heard: c.now, power: e.Power})
+	c.advisers = append(c.advisers, &adviser{address: e.Address, heard: c.now, power: e.Power, zone: e.Zone})
 }
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -19,6 +19,8 @@
 	workers map[WorkerID]*worker
 	// fleet is the list of usable workers of the current pass.
 	fleet []*worker
+	// roomy are those that have room for some ready task.
+	roomy []*worker
 	ready []*stage
 	timed []*occurrence
 	held  map[WorkerID]bool
@@ -28,9 +30,12 @@
 	starts  []StartRecord
 	planned []func()
 	// largest is the largest amount of each resource that is free on a worker.
-	largest    Resources
-	lastPass   Time
-	passWanted bool
+	largest  Resources
+	lastPass Time
+	// passes counts the passes, gathering the gangs for which the present one
+	// keeps workers free, examined the stages that it has looked at.
+	passes, gathering, examined int
+	passWanted                  bool
 
 	// inheritedDead is when no order of an earlier owner can have any effect on
 	// a worker that has not answered to this one. inheritedSettled means that
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -158,6 +158,8 @@
 	Acknowledged int64
 	// Wait is how long the answer may wait for an end.
 	Wait time.Duration
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // StartTask orders a worker to start a run.
@@ -172,6 +174,8 @@
 	Token      int64
 	Checkpoint string
 	Ticket     string
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // StopTask orders a worker to stop a run, and never to start it afterwards.
@@ -182,6 +186,8 @@
 	Task    TaskID
 	Run     int64
 	Token   int64
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // SetPace orders a worker to let a run work at a share.
@@ -193,6 +199,8 @@
 	Run     int64
 	Percent int
 	Token   int64
+	// Via is the address of the host that makes the call, empty for this one.
+	Via string
 }
 
 // AskAdvice asks the advice service through a host.
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -164,9 +164,9 @@
 // HelloReceived says that another host is alive.
 type HelloReceived struct {
 	event
-	Host, Address string
-	Power         int64
-	Token         Token
+	Host, Address, Zone string
+	Power               int64
+	Token               Token
 }
 
 // HelloAnswered is the owner's answer to Hello.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -2,7 +2,10 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"sort"
+	"time"
 )
 
 const (
@@ -11,6 +14,15 @@
 	// passInterval is the least time between two passes. Under load it lets
 	// several events share one pass; a job waits this long at most.
 	passInterval = 8 * msec
+	// lateTolerance is the part of a task's expected run time by which a stage
+	// may miss its latest start before it counts as late; run times vary by half.
+	lateTolerance = 0.25
+	// latePass is how often the stages that are late go first.
+	latePass = 8
+	// crowded is the number of ready stages from which passes are at least
+	// crowdedInterval apart, so that a flood does not use up the processor.
+	crowded         = 150
+	crowdedInterval = 25 * msec
 	// maxGathering is the number of gangs for which workers are kept free at a
 	// time. More would leave too much of the cell idle.
 	maxGathering = 2
@@ -21,7 +33,11 @@
 	if !c.dirty || !c.mayStart() {
 		return
 	}
-	if wait := passInterval - c.now.Sub(c.lastPass); wait > 0 {
+	interval := passInterval
+	if len(c.ready) > crowded {
+		interval = crowdedInterval
+	}
+	if wait := interval - c.now.Sub(c.lastPass); wait > 0 {
 		if !c.passWanted {
 			c.passWanted = true
 			c.emit(Wake{After: wait})
@@ -31,45 +47,62 @@
 	c.dirty, c.passWanted, c.lastPass = false, false, c.now
 	clear(c.held)
 	c.refreshFleet()
-	gathering, examined := 0, 0
-	keep := c.ready[:0]
-	for _, s := range c.ready {
+	c.gathering, c.examined = 0, 0
+	first := 0
+	if c.passes++; c.passes%latePass != 0 {
+		first = c.firstInTime()
+	}
+	for _, s := range c.ready[first:] {
+		c.place(s)
+	}
+	for _, s := range c.ready[:first] {
+		c.place(s)
+	}
+	c.ready = slices.DeleteFunc(c.ready, func(s *stage) bool {
 		if s.waiting == 0 || s.job.ending() {
 			s.queued = false
-			continue
-		}
-		examined++
-		if !c.largest.fits(s.step.charge()) {
-			keep = append(keep, s)
-			continue
-		}
-		if examined <= maxExamined {
-			if !s.job.durable {
-				c.wantAdvice(s)
-			} else if s.step.Gang {
-				if !c.placeGang(s) && gathering < maxGathering && c.gather(s) {
-					gathering++
-				}
-			} else {
-				c.placeTasks(s)
-			}
+			return true
 		}
-		c.recordStarts(s.job)
-		if s.waiting == 0 {
-			s.queued = false
-			continue
+		return false
+	})
+}
+
+// firstInTime is the index of the first stage that can still meet its objective.
+// In a flood the late ones would otherwise go before all others and make each of
+// them late as well. They get what is left, and every eighth pass.
+func (c *cell) firstInTime() int {
+	return sort.Search(len(c.ready), func(i int) bool {
+		s := c.ready[i]
+		return c.now <= s.latestStart.Add(time.Duration(lateTolerance*float64(c.expectedDuration(s))))
+	})
+}
+
+// place starts what can be started of a stage.
+func (c *cell) place(s *stage) {
+	if s.waiting == 0 || s.job.ending() || !c.largest.fits(s.step.charge()) {
+		return
+	}
+	if c.examined++; c.examined > maxExamined {
+		return
+	}
+	switch {
+	case !s.job.durable:
+		c.wantAdvice(s)
+	case s.step.Gang:
+		if !c.placeGang(s) && c.gathering < maxGathering && c.gather(s) {
+			c.gathering++
 		}
-		keep = append(keep, s)
+	default:
+		c.placeTasks(s)
 	}
-	clear(c.ready[len(keep):])
-	c.ready = keep
+	c.recordStarts(s.job)
 }
 
 // refreshFleet lists the workers in the order in which tasks are packed: fast
 // workers first, and of those the fuller ones, so that wide gangs find empty
 // workers.
 func (c *cell) refreshFleet() {
-	c.fleet = c.fleet[:0]
+	c.fleet, c.roomy = c.fleet[:0], c.roomy[:0]
 	c.largest = Resources{}
 	for _, id := range c.workerOrder() {
 		if w := c.workers[id]; w.listed && w.contacted {
@@ -83,6 +116,33 @@
 	slices.SortStableFunc(c.fleet, func(a, b *worker) int {
 		return cmp.Or(cmp.Compare(a.speedClass(), b.speedClass()), cmp.Compare(a.free().MilliCPU, b.free().MilliCPU))
 	})
+	least := c.leastNeed()
+	for _, w := range c.fleet {
+		if w.free().MilliCPU >= least {
+			c.roomy = append(c.roomy, w)
+		}
+	}
+}
+
+// leastNeed is the smallest amount of processors that a ready task needs, tasks
+// that need none aside.
+func (c *cell) leastNeed() int64 {
+	least := int64(math.MaxInt64)
+	for _, s := range c.ready {
+		if need := s.step.charge().MilliCPU; need > 0 {
+			least = min(least, need)
+		}
+	}
+	return least
+}
+
+// withRoom lists the workers that may have room for a task of a stage. In a flood
+// these are few, and only they are looked at for each of the waiting stages.
+func (c *cell) withRoom(s *stage) []*worker {
+	if s.step.charge().MilliCPU == 0 {
+		return c.fleet
+	}
+	return c.roomy
 }
 
 // speedClass groups workers whose speeds do not differ by much.
@@ -101,15 +161,12 @@
 // placeTasks starts as many tasks of a stage as there is room for.
 func (c *cell) placeTasks(s *stage) {
 	next := 0
-	for _, w := range c.fleet {
+	for _, w := range c.withRoom(s) {
 		if s.waiting == 0 {
 			return
 		}
-		if c.held[w.info.ID] || !c.usable(s, w) {
-			continue
-		}
 		n := c.placesOn(s, w)
-		if n == 0 {
+		if n == 0 || c.held[w.info.ID] || !c.usable(s, w) {
 			continue
 		}
 		ticket, ok := c.ticket(s, w)
@@ -177,11 +234,8 @@
 func (c *cell) planGang(s *stage, allow func(*worker) bool) []share {
 	var plan []share
 	total := 0
-	for _, w := range c.fleet {
-		if c.held[w.info.ID] || !c.usable(s, w) {
-			continue
-		}
-		if n := c.placesOn(s, w); n > 0 && allow(w) {
+	for _, w := range c.withRoom(s) {
+		if n := c.placesOn(s, w); n > 0 && !c.held[w.info.ID] && c.usable(s, w) && allow(w) {
 			plan = append(plan, share{w, n})
 			total += n
 		}
--- a/scheduler/promises_test.go
+++ b/scheduler/promises_test.go
@@ -304,3 +304,21 @@
 		}
 	})
 }
+
+// TestIdleWorkerKeepsPlannedRuns guards against runs that are given up while their
+// start is being written, because the lease of their idle worker ended long ago.
+func TestIdleWorkerKeepsPlannedRuns(t *testing.T) {
+	w := newWorld(t, 3, 1, 1)
+	w.run(30 * time.Second)
+	c := w.owner().r.cell
+	j := c.addJob("00000000000000aa", "batch", &JobSpec{Steps: []Step{{Count: 1, Need: Resources{MilliCPU: 100}}}}, w.wall())
+	j.durable = true
+	worker := c.workers["w00"]
+	worker.clockAt = c.now.Add(-7 * time.Second)
+	c.now = w.now
+	c.start(j.occurrences[0].stages[0].tasks[0], worker, 1, "")
+	c.holdWorkers()
+	if len(worker.runs) != 1 {
+		t.Error("the planned run was dropped")
+	}
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -23,6 +23,9 @@
 // log: a successor then knows of each run that there may be.
 func (c *cell) start(t *task, w *worker, number int64, ticket string) {
 	r := c.attach(t, w, number)
+	// The lease of an idle worker has ended, which must not count against a run
+	// whose order is still being written.
+	c.nextLeaseEnd(w)
 	s := t.stage
 	c.starts = append(c.starts, StartRecord{s.occ.index, s.index, t.index, number, w.info.ID})
 	life := w.life
@@ -85,6 +88,7 @@
 	c.emit(StartTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Payload: t.stage.job.spec.Payload,
 		Deadline: c.nextLeaseEnd(w), Token: c.generation, Checkpoint: t.checkpoint, Ticket: ticket,
+		Via: c.agentFor(w),
 	})
 	c.decide(Decision{Kind: "start", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID,
 		Run: r.number, Queue: t.stage.job.queue, Fields: []Field{
@@ -198,7 +202,7 @@
 	}
 	r.stopSent = true
 	w := r.worker
-	c.emit(StopTask{Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Token: c.generation})
+	c.emit(StopTask{Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Token: c.generation, Via: c.agentFor(w)})
 	c.decide(Decision{Kind: "stop", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
 		Fields: []Field{{"in_doubt", boolField(r.state == runDoubted)}}})
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -108,7 +108,9 @@
 	runs                         map[runKey]*run
 	used                         Resources
 	hold                         holdState
-	health                       health
+	// agent is the host that makes the calls to the worker, if it is not this one.
+	agent  *adviser
+	health health
 	// leavesAt is when a draining worker may exit.
 	leavesAt Time
 	drained  bool
@@ -319,7 +321,7 @@
 	w.hold.sent = c.now
 	h := Hold{
 		Worker: w.info.ID, Address: w.info.Address, Call: w.hold.call,
-		Token: c.generation,
+		Token: c.generation, Via: c.agentFor(w),
 	}
 	if w.contacted && w.hold.failures == 0 && w.durable > w.acknowledged {
 		// After a call without an answer the address may belong to a new life
