Split the worker's files and remove what nothing decides yet

Orders to change a run's pace and limits that no decision used are gone until a decision needs them.

--- a/host/agent.go
+++ b/host/agent.go
@@ -29,7 +29,6 @@
 	Hold  *scheduler.Hold      `json:"hold,omitempty"`
 	Start *scheduler.StartTask `json:"start,omitempty"`
 	Stop  *scheduler.StopTask  `json:"stop,omitempty"`
-	Pace  *scheduler.SetPace   `json:"pace,omitempty"`
 }
 
 // effect returns the call as the effect that it was.
@@ -41,8 +40,6 @@
 		return *o.Start
 	case o.Stop != nil:
 		return *o.Stop
-	case o.Pace != nil:
-		return *o.Pace
 	}
 	return nil
 }
@@ -53,7 +50,6 @@
 	Hold  *scheduler.HoldAnswered  `json:"hold,omitempty"`
 	Start *scheduler.StartAnswered `json:"start,omitempty"`
 	Stop  *scheduler.StopAnswered  `json:"stop,omitempty"`
-	Pace  *scheduler.PaceAnswered  `json:"pace,omitempty"`
 }
 
 // event returns the answer as an event, or nil if there is none.
@@ -65,8 +61,6 @@
 		return *r.Start
 	case r.Stop != nil:
 		return *r.Stop
-	case r.Pace != nil:
-		return *r.Pace
 	}
 	return nil
 }
@@ -215,8 +209,6 @@
 		result.Start = &e
 	case scheduler.StopAnswered:
 		result.Stop = &e
-	case scheduler.PaceAnswered:
-		result.Pace = &e
 	}
 	d.agents.results.add(d.running, replyTo, result)
 }
--- a/host/execute.go
+++ b/host/execute.go
@@ -95,12 +95,6 @@
 			d.post(ctx, d.viaAgent(ctx, o.Via, workerOrder{Stop: &o}, failed, orderTimeout))
 			return
 		}
-	case scheduler.SetPace:
-		if o.Via != "" {
-			failed := scheduler.PaceAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Result: scheduler.OrderInDoubt}
-			d.post(ctx, d.viaAgent(ctx, o.Via, workerOrder{Pace: &o}, failed, orderTimeout))
-			return
-		}
 	}
 	if answer := d.callWorker(ctx, e); answer != nil {
 		d.post(ctx, answer)
@@ -120,8 +114,6 @@
 		answer, err = d.workers.Start(ctx, e)
 	case scheduler.StopTask:
 		answer, err = d.workers.Stop(ctx, e)
-	case scheduler.SetPace:
-		answer, err = d.workers.Pace(ctx, e)
 	default:
 		d.log.Error().Str("event", "effect").Str("outcome", "unknown").Type("type", e).Send()
 		return nil
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -100,7 +100,6 @@
 	c.openTimed()
 	c.settleInherited()
 	c.holdWorkers()
-	c.watchRuns()
 	if c.now.Sub(c.lastForget) >= forgetEvery {
 		c.lastForget = c.now
 		c.forgetEnded()
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -51,18 +51,6 @@
 	MaxLease time.Duration
 	// StatusRetention is how long the state of an ended job can be read.
 	StatusRetention time.Duration
-	// GangTimeout is how long members of a gang wait for each other.
-	GangTimeout time.Duration
-	// EarlyStart is how much before its time an occurrence may start.
-	EarlyStart time.Duration
-	// RemotePenalty is the factor by which tasks away from their data are slower.
-	RemotePenalty float64
-	// StopGrace is how long a worker takes to stop a task.
-	StopGrace time.Duration
 	// MinStoreLease is the shortest lease that the store grants.
 	MinStoreLease time.Duration
-	// ValueBytes bounds a value in the store.
-	ValueBytes int
-	// Interference is how long a task may exceed its latency target.
-	Interference time.Duration
 }
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -190,19 +190,6 @@
 	Via string
 }
 
-// SetPace orders a worker to let a run work at a share.
-type SetPace struct {
-	effect
-	Worker  WorkerID
-	Address string
-	Task    TaskID
-	Run     int64
-	Percent int
-	Token   int64
-	// Via is the address of the host that makes the call, empty for this one.
-	Via string
-}
-
 // AskAdvice asks the advice service through a host.
 type AskAdvice struct {
 	effect
--- /dev/null
+++ b/scheduler/fakestore_test.go
@@ -0,0 +1,153 @@
+package scheduler
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// executeStore carries out a call to the store.
+func (w *world) executeStore(h *fakeHost, life int, f Effect) {
+	lost := w.rng.Float64() < w.faults.loseWrite
+	caller := w.caller(h, f)
+	w.at(w.delay(), func() {
+		var e Event
+		if caller != nil && w.storeReachable(caller) {
+			w.expireLease()
+			e = w.storeCall(f)
+		} else {
+			e = unreachable(f)
+		}
+		switch f.(type) {
+		case WriteGroup:
+			if lost {
+				e = unreachable(f)
+			}
+		}
+		if e != nil {
+			w.at(w.delay(), func() { w.post(h, life, e) })
+		}
+	})
+}
+
+// caller is the host that makes a call to the store, or nil if it is dead.
+func (w *world) caller(h *fakeHost, f Effect) *fakeHost {
+	via := ""
+	switch f := f.(type) {
+	case WriteGroup:
+		via = f.Via
+	case RenewLease:
+		via = f.Via
+	case EndLease:
+		via = f.Via
+	}
+	if via == "" {
+		return h
+	}
+	for _, o := range w.hosts {
+		if o.address == via && o.alive {
+			return o
+		}
+	}
+	return nil
+}
+
+// unreachable is what a host learns of a call without an answer.
+func unreachable(f Effect) Event {
+	switch f := f.(type) {
+	case ReadLog:
+		return LogRead{Err: fmt.Errorf("store is down")}
+	case ClaimOwnership:
+		return ClaimAnswered{Outcome: NotDone}
+	case RenewLease:
+		return LeaseRenewed{Lease: f.Lease, Outcome: InDoubt, Via: f.Via}
+	case WriteGroup:
+		return GroupWritten{Sequence: f.Group.Sequence, Outcome: InDoubt, Via: f.Via}
+	case DeleteGroups:
+		return GroupsDeleted{Through: f.Through, Outcome: InDoubt}
+	}
+	return nil
+}
+
+// storeCall makes a call that reaches the store.
+func (w *world) storeCall(f Effect) Event {
+	s := &w.store
+	switch f := f.(type) {
+	case ReadLog:
+		e := LogRead{}
+		for _, seq := range sortedKeys(s.log) {
+			var g Group
+			if err := json.Unmarshal(s.log[seq], &g); err != nil {
+				w.t.Fatal(err)
+			}
+			e.Groups = append(e.Groups, g)
+		}
+		return e
+	case ClaimOwnership:
+		if s.owner != nil && s.ownerRev != f.Replaces || s.log[f.Opening.Sequence] != nil {
+			return ClaimAnswered{Outcome: Conflict, OwnerExists: s.owner != nil, LogTaken: s.log[f.Opening.Sequence] != nil}
+		}
+		s.revision++
+		s.leases++
+		record := f.Record
+		s.owner, s.ownerRev, s.lease, s.ttl, s.leaseEnd = &record, s.revision, s.leases, f.TTL, w.now.Add(f.TTL)
+		s.log[f.Opening.Sequence], _ = json.Marshal(f.Opening)
+		return ClaimAnswered{Outcome: Done, Lease: s.lease, Sent: w.now, TTL: f.TTL, Revision: s.revision}
+	case RenewLease:
+		if s.owner == nil || s.lease != f.Lease {
+			return LeaseRenewed{Lease: f.Lease, Sent: w.now, Ended: true, Via: f.Via}
+		}
+		s.leaseEnd = w.now.Add(s.ttl)
+		return LeaseRenewed{Lease: f.Lease, Sent: w.now, Via: f.Via}
+	case EndLease:
+		if s.owner != nil && s.lease == f.Lease {
+			s.owner = nil
+			s.revision++
+			s.ownerRev = s.revision
+		}
+	case ReadOwner:
+		return w.ownerSeen()
+	case WriteGroup:
+		return w.writeGroup(f)
+	case DeleteGroups:
+		if s.owner == nil || s.ownerRev != f.OwnerRevision {
+			return GroupsDeleted{Through: f.Through, Outcome: Conflict}
+		}
+		for seq := f.From; seq <= f.Through; seq++ {
+			delete(s.log, seq)
+		}
+		return GroupsDeleted{Through: f.Through}
+	}
+	return nil
+}
+
+func (w *world) writeGroup(f WriteGroup) GroupWritten {
+	s := &w.store
+	e := GroupWritten{Sequence: f.Group.Sequence, Via: f.Via}
+	value, err := json.Marshal(f.Group)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if old := s.log[f.Group.Sequence]; old != nil {
+		e.Outcome, e.Ours = Conflict, string(old) == string(value)
+		e.Taken = !e.Ours
+	}
+	if s.owner == nil || s.ownerRev != f.OwnerRevision {
+		e.Outcome, e.Lost = Conflict, true
+	}
+	if e.Outcome == Conflict {
+		return e
+	}
+	s.revision++
+	s.log[f.Group.Sequence] = value
+	return e
+}
+
+func sortedKeys(m map[int64][]byte) []int64 {
+	var keys []int64
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -34,6 +34,8 @@
 const (
 	fakeCPU    = 8000
 	fakeMemory = 16000
+	// fakeGangTimeout is how long members of a gang wait for each other.
+	fakeGangTimeout = 3 * time.Second
 )
 
 func (w *world) addWorker(i int) *fakeWorker {
@@ -123,8 +125,6 @@
 		return w.workers[f.Worker], StartAnswered{Worker: f.Worker, Task: f.Task, Run: f.Run, Result: OrderInDoubt}
 	case StopTask:
 		return w.workers[f.Worker], StopAnswered{Worker: f.Worker, Task: f.Task, Run: f.Run, Result: OrderInDoubt}
-	case SetPace:
-		return w.workers[f.Worker], PaceAnswered{Worker: f.Worker, Task: f.Task, Run: f.Run, Result: OrderInDoubt}
 	}
 	return nil, nil
 }
@@ -313,7 +313,7 @@
 		w.at(step.Estimate, finish)
 		return
 	}
-	w.at(w.limits.GangTimeout, func() {
+	w.at(fakeGangTimeout, func() {
 		if fw.life == life && fw.up && !r.ended && fw.runs[r.id] == r && !r.begun {
 			fw.end(w, r, EndAlone)
 		}
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -59,8 +59,6 @@
 	gangRun, failedRun int64
 	gangFailures       int
 	advice             advice
-	// gatherSince is when workers began to be kept free for the gang.
-	gatherSince Time
 }
 
 // taskState is the state of a task.
--- /dev/null
+++ b/scheduler/listed.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import "slices"
+
+// takeEnds handles the ends that are new, in their order.
+func (c *cell) takeEnds(w *worker, ends []RunEnd) {
+	slices.SortFunc(ends, func(a, b RunEnd) int { return int(a.Number - b.Number) })
+	changed := false
+	for _, e := range ends {
+		if e.Number <= w.noted {
+			continue
+		}
+		w.noted = e.Number
+		changed = true
+		c.endListed(w, e)
+	}
+	if changed {
+		id, life, noted := w.info.ID, w.life, w.noted
+		c.whenDurable(func() {
+			w := c.workers[id]
+			if w == nil || w.life != life {
+				return
+			}
+			w.durable = max(w.durable, noted)
+			if !w.hold.inFlight && c.now >= w.hold.retryAt && c.mayHold() && c.needsHold(w) {
+				c.sendHold(w)
+			}
+		})
+	}
+}
+
+// endListed handles one end.
+func (c *cell) endListed(w *worker, e RunEnd) {
+	if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
+		c.runEnded(r, e.Kind, e.Checkpoint)
+		return
+	}
+	t := c.find(e.Task)
+	if t == nil {
+		return
+	}
+	// A run of an earlier owner that had ended when this owner first asked.
+	c.taskEnded(t, e.Run, e.Kind, e.Checkpoint, w)
+}
+
+// takeActive compares the runs that the worker lists with those it should have.
+func (c *cell) takeActive(w *worker, e HoldAnswered) {
+	listed := make(map[runKey]bool, len(e.Active))
+	w.unknownRuns = false
+	for i := range e.Active {
+		a := &e.Active[i]
+		key := runKey{a.Task, a.Run}
+		listed[key] = true
+		r := w.runs[key]
+		if r == nil {
+			if r = c.adopt(w, a); r == nil {
+				continue
+			}
+		}
+		c.observeRun(r, a)
+	}
+	if len(e.Ended) >= maxListedEnds {
+		return
+	}
+	for _, r := range w.sortedRuns() {
+		if !listed[runKey{r.id, r.number}] {
+			c.runMissing(r)
+		}
+	}
+}
+
+// adopt takes over a run that this owner did not start.
+func (c *cell) adopt(w *worker, a *ActiveRun) *run {
+	t := c.find(a.Task)
+	r := &run{id: a.Task, number: a.Run, worker: w, state: runActive, ordered: c.now, settled: c.now}
+	if t == nil {
+		// Its size is unknown, so the worker gets no further work until the
+		// run is gone.
+		r.state = runStopping
+		w.runs[runKey{r.id, r.number}] = r
+		w.unknownRuns = true
+		c.sendStop(r)
+		return nil
+	}
+	r.task = t
+	r.charge = t.stage.step.charge()
+	w.runs[runKey{r.id, r.number}] = r
+	w.used.add(r.charge)
+	t.lastRun = max(t.lastRun, a.Run)
+	t.stage.job.begun = true
+	if t.stage.step.Gang {
+		t.stage.gangRun = max(t.stage.gangRun, a.Run)
+	}
+	if t.state != taskWaiting || t.stage.job.ending() {
+		c.stopRun(r)
+		return r
+	}
+	t.state = taskAssigned
+	t.stage.waiting--
+	t.run = r
+	r.expected = c.expectedDuration(t.stage)
+	return r
+}
+
+// observeRun notes what the worker says of a run.
+func (c *cell) observeRun(r *run, a *ActiveRun) {
+	r.missing = 0
+	if a.Checkpoint != "" && a.Checkpoint != r.checkpoint {
+		r.checkpoint = a.Checkpoint
+	}
+	if r.state == runDoubted || r.state == runStarting || r.state == runInherited {
+		c.runConfirmed(r)
+	}
+	if r.state == runStopping && !r.stopSent {
+		c.sendStop(r)
+	}
+}
+
+// runMissing handles a run that the worker does not list.
+func (c *cell) runMissing(r *run) {
+	if r.state == runPlanned || r.state == runStarting {
+		return
+	}
+	if r.state == runInherited {
+		// The worker obeys this owner since it has answered, so an order of an
+		// earlier one has no effect any more.
+		c.runEnded(r, EndLost, "")
+		return
+	}
+	if r.worker.hold.sent <= r.settled {
+		return
+	}
+	switch {
+	case r.state == runDoubted && !r.stopSent:
+		// The start may still arrive. A stop forbids it.
+		c.sendStop(r)
+	case r.state == runDoubted:
+		if r.stopDone {
+			c.runEnded(r, EndLost, "")
+		}
+	case r.state == runStopping && !r.stopDone:
+	default:
+		r.missing++
+		if r.missing >= vanishedHolds || r.state == runStopping {
+			c.runEnded(r, EndLost, "")
+		}
+	}
+}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -44,8 +44,6 @@
 	phaseOwner
 )
 
-var phaseNames = [...]string{"follower", "reading", "claiming", "owner"}
-
 // ownership is what a host knows of the ownership of the cell.
 type ownership struct {
 	phase phase
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -218,7 +218,6 @@
 			i++
 		}
 	}
-	s.gatherSince = 0
 	return true
 }
 
@@ -284,9 +283,6 @@
 			for _, q := range places[:i+1] {
 				c.held[q.w.info.ID] = true
 			}
-			if s.gatherSince == 0 {
-				s.gatherSince = c.now
-			}
 			return true
 		}
 	}
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -136,8 +136,6 @@
 		c.startAnswered(e)
 	case StopAnswered:
 		c.stopAnswered(e)
-	case PaceAnswered:
-		c.paceAnswered(e)
 	case AdviceAnswered:
 		c.adviceAnswered(e)
 	}
--- a/scheduler/request.go
+++ b/scheduler/request.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 const (
 	// ownerWait is how long a request waits for an owner before its caller is
@@ -261,6 +258,3 @@
 		r.emit(Stopped{})
 	}
 }
-
-// timeLeft is how long a caller still waits.
-func timeLeft(now, deadline Time) time.Duration { return max(0, deadline.Sub(now)) }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -64,7 +64,7 @@
 	s := t.stage
 	r := &run{
 		task: t, id: t.id(), number: number, worker: w, charge: s.step.charge(),
-		state: runPlanned, ordered: c.now, pace: 100, expected: c.expectedDuration(s),
+		state: runPlanned, ordered: c.now, expected: c.expectedDuration(s),
 	}
 	if t.run == nil {
 		t.run = r
@@ -172,9 +172,6 @@
 			r.settled = c.now
 		}
 	}
-	if r.progressAt == 0 {
-		r.progressAt = c.now
-	}
 	if !r.worker.hold.inFlight && c.mayHold() && c.needsHold(r.worker) && c.now >= r.worker.hold.retryAt {
 		c.sendHold(r.worker)
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -57,25 +57,14 @@
 	// ordered is when the start was sent, settled when its answer came or, for
 	// a run that is being stopped, the answer to the stop.
 	ordered, settled Time
-	// firstSeen is when the worker listed the run first.
-	firstSeen Time
 	// unwanted means that the run is to be stopped once its start is answered.
 	unwanted   bool
 	stopSent   bool
 	stopDone   bool
 	missing    int
-	percent    int
-	progressAt Time
 	checkpoint string
 	// expected is the duration that was expected at the start.
 	expected time.Duration
-	// usage is the worker's last figure of the run's use.
-	usage int64
-	// pace is the share at which the run works.
-	pace     int
-	paceSent bool
-	// overSince is when the run began to exceed its latency target.
-	overSince Time
 }
 
 // worker is a worker as the owner knows it.
@@ -111,9 +100,6 @@
 	// agent is the host that makes the calls to the worker, if it is not this one.
 	agent  *adviser
 	health health
-	// leavesAt is when a draining worker may exit.
-	leavesAt Time
-	drained  bool
 	// unknownRuns is set while the worker lists runs whose size is not known.
 	unknownRuns bool
 	removedAt   Time
@@ -124,7 +110,6 @@
 	call     uint64
 	inFlight bool
 	sent     Time
-	leaseEnd int64
 	// acknowledged is the highest end that the call let the worker forget.
 	acknowledged int64
 	// retryAt is when the next call is due after a failure, failures counts
@@ -212,7 +197,7 @@
 	w.deadBy = c.now.Add(worstCase(c.limits.MaxLease))
 	w.clock, w.clockAt, w.leaseEnd = 0, 0, 0
 	w.noted, w.durable, w.acknowledged = 0, 0, 0
-	w.leavesAt, w.drained, w.unknownRuns = 0, false, false
+	w.unknownRuns = false
 	// The answer to a call that was sent to the earlier life is ignored.
 	w.hold = holdState{call: w.hold.call}
 	w.health.reset()
@@ -236,332 +221,3 @@
 	slices.SortFunc(runs, func(a, b *run) int { return compareRuns(a.id, a.number, b.id, b.number) })
 	return runs
 }
-
-// surelyLapsed reports whether the worker's lease has ended on its own clock,
-// whatever happened to the calls sent to it.
-func (c *cell) surelyLapsed(w *worker) bool {
-	if !w.contacted {
-		return c.now >= max(c.inheritedDead, w.deadBy)
-	}
-	left := time.Duration(w.leaseEnd-w.clock) * msec
-	return c.now >= w.clockAt.Add(worstCase(max(0, left)))
-}
-
-// workerClock estimates the worker's clock from below.
-func (c *cell) workerClock(w *worker) int64 {
-	passed := float64(c.now.Sub(w.clockAt)) * (1 - clockSlowness)
-	return w.clock + time.Duration(passed).Milliseconds()
-}
-
-// lease returns the length of a worker's lease.
-func (c *cell) lease() time.Duration { return min(c.limits.MaxLease, leaseTarget) }
-
-// nextLeaseEnd returns the end of a lease that begins now, and notes it.
-func (c *cell) nextLeaseEnd(w *worker) int64 {
-	end := c.workerClock(w) + c.lease().Milliseconds()
-	w.leaseEnd = max(w.leaseEnd, end)
-	return end
-}
-
-// holdWorkers sends the holds that are due and gives up workers that are gone.
-func (c *cell) holdWorkers() {
-	if !c.mayHold() {
-		return
-	}
-	for _, id := range c.workerOrder() {
-		w := c.workers[id]
-		if c.surelyLapsed(w) && c.giveUp(w) {
-			continue
-		}
-		if !w.hold.inFlight && c.now >= w.hold.retryAt && c.needsHold(w) {
-			c.sendHold(w)
-		}
-	}
-}
-
-// giveUp handles a worker whose lease has ended without an answer. It reports
-// whether the worker is forgotten.
-func (c *cell) giveUp(w *worker) bool {
-	if len(w.runs) > 0 {
-		c.decide(Decision{Kind: "worker", Outcome: "lease_lapsed", Worker: w.info.ID,
-			Fields: []Field{{"runs", int64(len(w.runs))}, {"silent_ms", c.now.Sub(w.clockAt).Milliseconds()}}})
-		c.dropRuns(w)
-	}
-	if !w.contacted && !w.listed || !w.listed && w.removedAt != 0 {
-		if w.recorded {
-			c.record(Record{WorkerGone: w.info.ID}, false)
-		}
-		delete(c.workers, w.info.ID)
-		c.dirty = true
-		return true
-	}
-	w.contacted = w.contacted && w.hold.failures == 0
-	return false
-}
-
-// needsHold reports whether the worker has to be asked now.
-func (c *cell) needsHold(w *worker) bool {
-	switch {
-	case !w.contacted || c.hasDoubt(w):
-		return true
-	case w.noted > w.durable:
-		// The worker would answer at once with ends that may not be
-		// acknowledged yet.
-		return c.now.Sub(w.hold.lastOK) >= extendEvery
-	case len(w.runs) > 0 || w.unknownRuns || w.durable > w.acknowledged:
-		return true
-	}
-	return w.listed && c.now.Sub(w.hold.lastOK) >= idleHold
-}
-
-// sendHold asks a worker for its runs and extends its lease.
-func (c *cell) sendHold(w *worker) {
-	w.hold.call++
-	w.hold.inFlight = true
-	w.hold.sent = c.now
-	h := Hold{
-		Worker: w.info.ID, Address: w.info.Address, Call: w.hold.call,
-		Token: c.generation, Via: c.agentFor(w),
-	}
-	if w.contacted && w.hold.failures == 0 && w.durable > w.acknowledged {
-		// After a call without an answer the address may belong to a new life
-		// of the worker, which would forget ends that nobody has read.
-		h.Acknowledged = w.durable
-		w.hold.acknowledged = w.durable
-	}
-	if w.contacted {
-		h.Wait = maxWait
-		if w.noted > w.durable || c.hasDoubt(w) {
-			h.Wait = 0
-		}
-		switch {
-		case len(w.runs) == 0:
-			h.Wait = 0
-		case w.hold.failures == 0:
-			h.Deadline = c.nextLeaseEnd(w)
-		default:
-			// A worker that does not answer may still get the call. Its lease
-			// is left to end, so that its tasks can start elsewhere.
-			h.Wait = 0
-		}
-	}
-	w.hold.leaseEnd = h.Deadline
-	c.emit(h)
-}
-
-// hasDoubt reports whether some run of the worker waits for a look at it.
-func (c *cell) hasDoubt(w *worker) bool {
-	for _, r := range w.runs {
-		if r.state == runDoubted || r.state == runStopping && r.stopDone {
-			return true
-		}
-	}
-	return false
-}
-
-// holdAnswered takes over what a worker says of its runs.
-func (c *cell) holdAnswered(e HoldAnswered) {
-	w := c.workers[e.Worker]
-	if w == nil || e.Call != w.hold.call || !w.hold.inFlight {
-		return
-	}
-	w.hold.inFlight = false
-	if c.handingOver {
-		// The next owner reads what the worker lists.
-		return
-	}
-	if e.Fenced {
-		c.fenced(w.info.ID)
-		return
-	}
-	if e.Failed || e.OtherLife {
-		w.hold.failures++
-		w.hold.retryAt = c.now.Add(holdRetry * time.Duration(min(w.hold.failures, 4)))
-		return
-	}
-	if w.info.Born != 0 && e.Born != 0 && e.Born != w.info.Born {
-		if e.Born > w.info.Born {
-			c.workerRestarted(w, e.Born)
-		}
-		return
-	}
-	if w.contacted && e.Clock < w.clock {
-		// The answer overtook another one, or the worker has started again
-		// without a new Born; its ends would tell.
-		return
-	}
-	first := !w.contacted
-	w.hold.failures, w.hold.retryAt, w.hold.lastOK = 0, 0, c.now
-	w.contacted = true
-	w.clock, w.clockAt = e.Clock, c.now
-	if first {
-		w.leaseEnd = max(w.leaseEnd, e.Clock+c.limits.MaxLease.Milliseconds())
-	}
-	w.acknowledged = max(w.acknowledged, w.hold.acknowledged)
-	if e.Remaining > 0 {
-		w.leavesAt = c.now.Add(e.Remaining)
-	}
-	c.takeEnds(w, e.Ended)
-	c.takeActive(w, e)
-	if first {
-		c.decide(Decision{Kind: "worker", Outcome: "contacted", Worker: w.info.ID,
-			Fields: []Field{{"active", int64(len(e.Active))}, {"ended", int64(len(e.Ended))}, {"generation", c.generation}}})
-		c.settleInherited()
-		c.dirty = true
-	}
-	if !w.hold.inFlight && c.needsHold(w) && c.mayHold() {
-		c.sendHold(w)
-	}
-}
-
-// takeEnds handles the ends that are new, in their order.
-func (c *cell) takeEnds(w *worker, ends []RunEnd) {
-	slices.SortFunc(ends, func(a, b RunEnd) int { return int(a.Number - b.Number) })
-	changed := false
-	for _, e := range ends {
-		if e.Number <= w.noted {
-			continue
-		}
-		w.noted = e.Number
-		changed = true
-		c.endListed(w, e)
-	}
-	if changed {
-		id, life, noted := w.info.ID, w.life, w.noted
-		c.whenDurable(func() {
-			w := c.workers[id]
-			if w == nil || w.life != life {
-				return
-			}
-			w.durable = max(w.durable, noted)
-			if !w.hold.inFlight && c.now >= w.hold.retryAt && c.mayHold() && c.needsHold(w) {
-				c.sendHold(w)
-			}
-		})
-	}
-}
-
-// endListed handles one end.
-func (c *cell) endListed(w *worker, e RunEnd) {
-	if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
-		c.runEnded(r, e.Kind, e.Checkpoint)
-		return
-	}
-	t := c.find(e.Task)
-	if t == nil {
-		return
-	}
-	// A run of an earlier owner that had ended when this owner first asked.
-	c.taskEnded(t, e.Run, e.Kind, e.Checkpoint, w)
-}
-
-// takeActive compares the runs that the worker lists with those it should have.
-func (c *cell) takeActive(w *worker, e HoldAnswered) {
-	listed := make(map[runKey]bool, len(e.Active))
-	w.unknownRuns = false
-	for i := range e.Active {
-		a := &e.Active[i]
-		key := runKey{a.Task, a.Run}
-		listed[key] = true
-		r := w.runs[key]
-		if r == nil {
-			if r = c.adopt(w, a); r == nil {
-				continue
-			}
-		}
-		c.observeRun(r, a)
-	}
-	if len(e.Ended) >= maxListedEnds {
-		return
-	}
-	for _, r := range w.sortedRuns() {
-		if !listed[runKey{r.id, r.number}] {
-			c.runMissing(r)
-		}
-	}
-}
-
-// adopt takes over a run that this owner did not start.
-func (c *cell) adopt(w *worker, a *ActiveRun) *run {
-	t := c.find(a.Task)
-	r := &run{id: a.Task, number: a.Run, worker: w, state: runActive, ordered: c.now, settled: c.now, pace: 100}
-	if t == nil {
-		// Its size is unknown, so the worker gets no further work until the
-		// run is gone.
-		r.state = runStopping
-		w.runs[runKey{r.id, r.number}] = r
-		w.unknownRuns = true
-		c.sendStop(r)
-		return nil
-	}
-	r.task = t
-	r.charge = t.stage.step.charge()
-	w.runs[runKey{r.id, r.number}] = r
-	w.used.add(r.charge)
-	t.lastRun = max(t.lastRun, a.Run)
-	t.stage.job.begun = true
-	if t.stage.step.Gang {
-		t.stage.gangRun = max(t.stage.gangRun, a.Run)
-	}
-	if t.state != taskWaiting || t.stage.job.ending() {
-		c.stopRun(r)
-		return r
-	}
-	t.state = taskAssigned
-	t.stage.waiting--
-	t.run = r
-	r.expected = c.expectedDuration(t.stage)
-	return r
-}
-
-// observeRun notes what the worker says of a run.
-func (c *cell) observeRun(r *run, a *ActiveRun) {
-	r.missing = 0
-	r.usage = a.Usage
-	if r.firstSeen == 0 {
-		r.firstSeen, r.progressAt = c.now, c.now
-	}
-	if a.Percent != r.percent {
-		r.percent, r.progressAt = a.Percent, c.now
-	}
-	if a.Checkpoint != "" && a.Checkpoint != r.checkpoint {
-		r.checkpoint = a.Checkpoint
-	}
-	if r.state == runDoubted || r.state == runStarting || r.state == runInherited {
-		c.runConfirmed(r)
-	}
-	if r.state == runStopping && !r.stopSent {
-		c.sendStop(r)
-	}
-}
-
-// runMissing handles a run that the worker does not list.
-func (c *cell) runMissing(r *run) {
-	if r.state == runPlanned || r.state == runStarting {
-		return
-	}
-	if r.state == runInherited {
-		// The worker obeys this owner since it has answered, so an order of an
-		// earlier one has no effect any more.
-		c.runEnded(r, EndLost, "")
-		return
-	}
-	if r.worker.hold.sent <= r.settled {
-		return
-	}
-	switch {
-	case r.state == runDoubted && !r.stopSent:
-		// The start may still arrive. A stop forbids it.
-		c.sendStop(r)
-	case r.state == runDoubted:
-		if r.stopDone {
-			c.runEnded(r, EndLost, "")
-		}
-	case r.state == runStopping && !r.stopDone:
-	default:
-		r.missing++
-		if r.missing >= vanishedHolds || r.state == runStopping {
-			c.runEnded(r, EndLost, "")
-		}
-	}
-}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -67,16 +66,16 @@
 
 // fakeJob is a job as its caller knows it.
 type fakeJob struct {
-	id                           JobID
-	spec                         JobSpec
-	queue                        QueueName
-	sent, accepted, unsure       bool
-	refused, cancelSent          bool
-	cancelled                    Time
-	complete                     bool
-	notedDone                    map[TaskID]bool
-	done                         map[TaskID]bool
-	shownComplete, shownOtherEnd bool
+	id                     JobID
+	spec                   JobSpec
+	queue                  QueueName
+	sent, accepted, unsure bool
+	refused, cancelSent    bool
+	cancelled              Time
+	complete               bool
+	notedDone              map[TaskID]bool
+	done                   map[TaskID]bool
+	shownOtherEnd          bool
 }
 
 type fakeHost struct {
@@ -105,8 +104,8 @@
 	w := &world{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: Time(time.Hour), workers: map[WorkerID]*fakeWorker{},
 		jobs: map[JobID]*fakeJob{}, limits: Limits{
-			MaxLease: 6 * time.Second, StatusRetention: 2 * time.Minute, GangTimeout: 3 * time.Second,
-			EarlyStart: 250 * msec, RemotePenalty: 2, StopGrace: 400 * msec, MinStoreLease: time.Second,
+			MaxLease: 6 * time.Second, StatusRetention: 2 * time.Minute,
+			MinStoreLease: time.Second,
 		},
 	}
 	w.store.log = map[int64][]byte{}
@@ -269,157 +268,11 @@
 		w.executeStore(h, life, f)
 	case AskAdvice:
 		w.at(w.delay()+time.Duration(len(f.Workers))*msec, func() { back(w.delay(), w.advise(f)) })
-	case Hold, StartTask, StopTask, SetPace:
+	case Hold, StartTask, StopTask:
 		w.order_(h, life, f)
 	}
 }
 
-// executeStore carries out a call to the store.
-func (w *world) executeStore(h *fakeHost, life int, f Effect) {
-	lost := w.rng.Float64() < w.faults.loseWrite
-	caller := w.caller(h, f)
-	w.at(w.delay(), func() {
-		var e Event
-		if caller != nil && w.storeReachable(caller) {
-			w.expireLease()
-			e = w.storeCall(f)
-		} else {
-			e = unreachable(f)
-		}
-		switch f.(type) {
-		case WriteGroup:
-			if lost {
-				e = unreachable(f)
-			}
-		}
-		if e != nil {
-			w.at(w.delay(), func() { w.post(h, life, e) })
-		}
-	})
-}
-
-// caller is the host that makes a call to the store, or nil if it is dead.
-func (w *world) caller(h *fakeHost, f Effect) *fakeHost {
-	via := ""
-	switch f := f.(type) {
-	case WriteGroup:
-		via = f.Via
-	case RenewLease:
-		via = f.Via
-	case EndLease:
-		via = f.Via
-	}
-	if via == "" {
-		return h
-	}
-	for _, o := range w.hosts {
-		if o.address == via && o.alive {
-			return o
-		}
-	}
-	return nil
-}
-
-// unreachable is what a host learns of a call without an answer.
-func unreachable(f Effect) Event {
-	switch f := f.(type) {
-	case ReadLog:
-		return LogRead{Err: fmt.Errorf("store is down")}
-	case ClaimOwnership:
-		return ClaimAnswered{Outcome: NotDone}
-	case RenewLease:
-		return LeaseRenewed{Lease: f.Lease, Outcome: InDoubt, Via: f.Via}
-	case WriteGroup:
-		return GroupWritten{Sequence: f.Group.Sequence, Outcome: InDoubt, Via: f.Via}
-	case DeleteGroups:
-		return GroupsDeleted{Through: f.Through, Outcome: InDoubt}
-	}
-	return nil
-}
-
-// storeCall makes a call that reaches the store.
-func (w *world) storeCall(f Effect) Event {
-	s := &w.store
-	switch f := f.(type) {
-	case ReadLog:
-		e := LogRead{}
-		for _, seq := range sortedKeys(s.log) {
-			var g Group
-			if err := json.Unmarshal(s.log[seq], &g); err != nil {
-				w.t.Fatal(err)
-			}
-			e.Groups = append(e.Groups, g)
-		}
-		return e
-	case ClaimOwnership:
-		if s.owner != nil && s.ownerRev != f.Replaces || s.log[f.Opening.Sequence] != nil {
-			return ClaimAnswered{Outcome: Conflict, OwnerExists: s.owner != nil, LogTaken: s.log[f.Opening.Sequence] != nil}
-		}
-		s.revision++
-		s.leases++
-		record := f.Record
-		s.owner, s.ownerRev, s.lease, s.ttl, s.leaseEnd = &record, s.revision, s.leases, f.TTL, w.now.Add(f.TTL)
-		s.log[f.Opening.Sequence], _ = json.Marshal(f.Opening)
-		return ClaimAnswered{Outcome: Done, Lease: s.lease, Sent: w.now, TTL: f.TTL, Revision: s.revision}
-	case RenewLease:
-		if s.owner == nil || s.lease != f.Lease {
-			return LeaseRenewed{Lease: f.Lease, Sent: w.now, Ended: true, Via: f.Via}
-		}
-		s.leaseEnd = w.now.Add(s.ttl)
-		return LeaseRenewed{Lease: f.Lease, Sent: w.now, Via: f.Via}
-	case EndLease:
-		if s.owner != nil && s.lease == f.Lease {
-			s.owner = nil
-			s.revision++
-			s.ownerRev = s.revision
-		}
-	case ReadOwner:
-		return w.ownerSeen()
-	case WriteGroup:
-		return w.writeGroup(f)
-	case DeleteGroups:
-		if s.owner == nil || s.ownerRev != f.OwnerRevision {
-			return GroupsDeleted{Through: f.Through, Outcome: Conflict}
-		}
-		for seq := f.From; seq <= f.Through; seq++ {
-			delete(s.log, seq)
-		}
-		return GroupsDeleted{Through: f.Through}
-	}
-	return nil
-}
-
-func (w *world) writeGroup(f WriteGroup) GroupWritten {
-	s := &w.store
-	e := GroupWritten{Sequence: f.Group.Sequence, Via: f.Via}
-	value, err := json.Marshal(f.Group)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	if old := s.log[f.Group.Sequence]; old != nil {
-		e.Outcome, e.Ours = Conflict, string(old) == string(value)
-		e.Taken = !e.Ours
-	}
-	if s.owner == nil || s.ownerRev != f.OwnerRevision {
-		e.Outcome, e.Lost = Conflict, true
-	}
-	if e.Outcome == Conflict {
-		return e
-	}
-	s.revision++
-	s.log[f.Group.Sequence] = value
-	return e
-}
-
-func sortedKeys(m map[int64][]byte) []int64 {
-	var keys []int64
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // advise answers for the advice service: a worker is good for a step by a hash.
 func (w *world) advise(f AskAdvice) AdviceAnswered {
 	e := AdviceAnswered{Call: f.Call, Valid: 1500 * msec}
@@ -536,100 +389,3 @@
 		}
 	})
 }
-
-// submit hands a job in, again until it is accepted or tries run out.
-func (w *world) submit(id JobID, queue QueueName, spec JobSpec, tries int) {
-	j := w.jobs[id]
-	if j == nil {
-		j = &fakeJob{id: id, spec: spec, queue: queue, notedDone: map[TaskID]bool{}, done: map[TaskID]bool{}, refused: true}
-		w.jobs[id] = j
-	}
-	w.ask(func(t Token) Event {
-		return SubmitReceived{Token: t, Queue: queue, Job: id, Spec: spec, ConfigVersion: 1, Deadline: w.now.Add(callerTimeout)}
-	}, func(a Answer) {
-		switch a.Status {
-		case StatusOK:
-			j.accepted, j.refused = true, false
-		case StatusUnknown:
-			j.unsure, j.refused = true, false
-		}
-		if a.Status != StatusOK && tries > 1 {
-			w.at(300*msec+time.Duration(w.rng.IntN(700))*msec, func() { w.submit(id, queue, spec, tries-1) })
-		}
-		if a.Status == StatusOK {
-			w.poll(j)
-			if w.rng.Float64() < 0.1 {
-				// The same request arrives once more after its answer.
-				w.at(2*time.Second, func() { w.submitOnce(id, queue, spec) })
-			}
-		}
-	})
-}
-
-func (w *world) submitOnce(id JobID, queue QueueName, spec JobSpec) {
-	w.ask(func(t Token) Event {
-		return SubmitReceived{Token: t, Queue: queue, Job: id, Spec: spec, ConfigVersion: 1, Deadline: w.now.Add(callerTimeout)}
-	}, func(Answer) {})
-}
-
-// poll asks for a job's state until it has ended.
-func (w *world) poll(j *fakeJob) {
-	if j.complete {
-		return
-	}
-	w.at(700*msec, func() {
-		w.ask(func(t Token) Event {
-			return StatusReceived{Token: t, Job: j.id, Deadline: w.now.Add(callerTimeout)}
-		}, func(a Answer) {
-			switch {
-			case a.Status == StatusGone:
-				w.break_("job %s was accepted and is gone", j.id)
-			case a.Status == StatusOK && a.State == JobComplete:
-				j.complete = true
-				w.checkComplete(j)
-			case a.Status == StatusOK && a.State.final():
-				j.shownOtherEnd, j.complete = true, true
-				if a.State == JobCancelled && !j.cancelSent {
-					w.break_("job %s is shown as cancelled, which nobody asked for", j.id)
-				}
-			}
-			if !j.complete {
-				w.poll(j)
-			}
-		})
-	})
-}
-
-// checkComplete checks that every task of a job that is shown as complete is done.
-func (w *world) checkComplete(j *fakeJob) {
-	for s := range j.spec.Steps {
-		for i := range j.spec.Steps[s].Count {
-			id := TaskID{j.id, 0, s, i}
-			if !j.done[id] && !(j.spec.Steps[s].Gang && j.done[TaskID{j.id, 0, s, 0}]) {
-				w.break_("job %s is shown as complete, and task %s is not done", j.id, id)
-				return
-			}
-		}
-	}
-}
-
-// cancelJob cancels a job.
-func (w *world) cancelJob(j *fakeJob) {
-	j.cancelSent = true
-	w.ask(func(t Token) Event {
-		return CancelReceived{Token: t, Job: j.id, Deadline: w.now.Add(callerTimeout)}
-	}, func(a Answer) {
-		if a.Status == StatusOK && j.cancelled == 0 {
-			j.cancelled = w.now
-		}
-	})
-}
-
-func (w *world) owner() *fakeHost {
-	for _, h := range w.hosts {
-		if h.alive && h.r.cell != nil {
-			return h
-		}
-	}
-	return nil
-}
