--- a/scheduler/fakecaller_test.go
+++ b/scheduler/fakecaller_test.go
@@ -48,14 +48,14 @@
 		}, func(a Answer) {
 			switch {
 			case a.Status == StatusGone:
-				w.break_("job %s was accepted and is gone", j.id)
+				w.report("job %s was accepted and is gone", j.id)
 			case a.Status == StatusOK && a.State == JobComplete:
 				j.complete = true
 				w.checkComplete(j)
 			case a.Status == StatusOK && a.State.final():
 				j.shownOtherEnd, j.complete = true, true
 				if a.State == JobCancelled && !j.cancelSent {
-					w.break_("job %s is shown as cancelled, which nobody asked for", j.id)
+					w.report("job %s is shown as cancelled, which nobody asked for", j.id)
 				}
 			}
 			if !j.complete {
@@ -71,7 +71,7 @@
 		for i := range j.spec.Steps[s].Count {
 			id := TaskID{j.id, 0, s, i}
 			if !j.done[id] && !(j.spec.Steps[s].Gang && j.done[TaskID{j.id, 0, s, 0}]) {
-				w.break_("job %s is shown as complete, and task %s is not done", j.id, id)
+				w.report("job %s is shown as complete, and task %s is not done", j.id, id)
 				return
 			}
 		}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -73,8 +73,8 @@
 
 func (fw *fakeWorker) clock(w *world) int64 { return w.now.Sub(fw.started).Milliseconds() }
 
-// order_ carries an order to a worker and its answer back.
-func (w *world) order_(h *fakeHost, life int, f Effect) {
+// carryOrder carries an order to a worker and its answer back.
+func (w *world) carryOrder(h *fakeHost, life int, f Effect) {
 	fw, failed := w.target(f)
 	answerLost := w.rng.Float64() < w.faults.loseAnswer
 	late := w.rng.Float64() < w.faults.lateOrder
@@ -252,11 +252,11 @@
 func (w *world) checkStart(fw *fakeWorker, r *fakeRun, s StartTask) {
 	j := w.jobs[r.id.Job]
 	if j == nil {
-		w.break_("task %s of a job that nobody handed in", r.id)
+		w.report("task %s of a job that nobody handed in", r.id)
 		return
 	}
 	if j.refused && !j.unsure && !j.accepted && w.attemptsOver(j) {
-		w.break_("task %s starts, and its job was refused", r.id)
+		w.report("task %s starts, and its job was refused", r.id)
 	}
 	step := &j.spec.Steps[r.id.Step]
 	used := Resources{}
@@ -264,30 +264,30 @@
 		used.add(w.jobs[o.id.Job].spec.Steps[o.id.Step].charge())
 	}
 	if !fw.info.Capacity.fits(used) {
-		w.break_("worker %s is over its capacity by task %s: %+v", fw.info.ID, r.id, used)
+		w.report("worker %s is over its capacity by task %s: %+v", fw.info.ID, r.id, used)
 	}
 	if j.notedDone[r.id] {
-		w.break_("task %s run %d starts on %s after it was done", r.id, r.number, fw.info.ID)
+		w.report("task %s run %d starts on %s after it was done", r.id, r.number, fw.info.ID)
 	}
 	for _, id := range w.workerIDs() {
 		o := w.workers[id]
 		if o != fw && o.up && o.runs[r.id] != nil {
-			w.break_("task %s runs on %s (run %d) and %s (run %d)", r.id, o.info.ID, o.runs[r.id].number, fw.info.ID, r.number)
+			w.report("task %s runs on %s (run %d) and %s (run %d)", r.id, o.info.ID, o.runs[r.id].number, fw.info.ID, r.number)
 		}
 	}
 	for _, earlier := range step.After {
 		for i := range j.spec.Steps[earlier].Count {
 			if !j.done[TaskID{j.id, 0, earlier, i}] {
-				w.break_("task %s starts before step %d is done", r.id, earlier)
+				w.report("task %s starts before step %d is done", r.id, earlier)
 				return
 			}
 		}
 	}
 	if j.cancelled != 0 && w.now.Sub(j.cancelled) > 3*time.Second {
-		w.break_("task %s starts %v after its job was cancelled", r.id, w.now.Sub(j.cancelled))
+		w.report("task %s starts %v after its job was cancelled", r.id, w.now.Sub(j.cancelled))
 	}
 	if !adviceGood(r.id.StepName(), fw.info.ID) {
-		w.break_("task %s starts on %s without a valid ticket", r.id, fw.info.ID)
+		w.report("task %s starts on %s without a valid ticket", r.id, fw.info.ID)
 	}
 }
 
--- a/scheduler/promises_test.go
+++ b/scheduler/promises_test.go
@@ -64,11 +64,11 @@
 	for _, j := range w.jobs {
 		if j.accepted && !j.complete && !j.cancelSent {
 			open++
-			w.break_("job %s of queue %s was accepted and has not ended", j.id, j.queue)
+			w.report("job %s of queue %s was accepted and has not ended", j.id, j.queue)
 		}
 	}
 	if w.owner() == nil {
-		w.break_("nobody owns the cell")
+		w.report("nobody owns the cell")
 	}
 	if len(w.broken) > 0 {
 		if w.debug {
@@ -199,7 +199,7 @@
 					return
 				}
 			}
-			w.break_("nobody holds the lease")
+			w.report("nobody holds the lease")
 		})
 	}
 	w.run(3 * time.Second)
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -145,7 +145,7 @@
 	w.now = end
 }
 
-func (w *world) break_(format string, args ...any) {
+func (w *world) report(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%.3f s: ", float64(w.now-Time(time.Hour))/1e9)+fmt.Sprintf(format, args...))
 }
 
@@ -269,7 +269,7 @@
 	case AskAdvice:
 		w.at(w.delay()+time.Duration(len(f.Workers))*msec, func() { back(w.delay(), w.advise(f)) })
 	case Hold, StartTask, StopTask:
-		w.order_(h, life, f)
+		w.carryOrder(h, life, f)
 	}
 }
 
