Keep the queues of accepted jobs in the log

Cause: an owner that has never seen a configuration with a job's queue could not place it, so jobs of removed queues waited for ever after all hosts had started anew. Test: TestJobsOfRemovedQueuesAreCarriedThrough.

--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -31,7 +31,8 @@
 	spec := e.Spec
 	j := c.addJob(e.Job, e.Queue, &spec, c.wall)
 	j.waiting = []Token{e.Token}
-	c.record(Record{Job: j.id, Accepted: j.accepted, Queue: j.queue, Spec: j.spec}, true)
+	c.record(Record{Job: j.id, Accepted: j.accepted, Queue: j.queue, Spec: j.spec, Policy: c.queue(j.queue)}, true)
+	c.policies[j.queue] = c.queue(j.queue)
 	c.whenDurable(func() { c.accepted(j) })
 	// Advice is asked for while the job is being written. Its tasks start once
 	// it is accepted.
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -43,6 +43,9 @@
 	inheritedDead    Time
 	inheritedSettled bool
 
+	// policies are the queues of accepted jobs as the log has them.
+	policies map[QueueName]*Queue
+
 	log         logWriter
 	durations   map[QueueName]*durations
 	advisers    []*adviser
@@ -68,7 +71,7 @@
 	return &cell{
 		r: r, now: r.now, wall: r.wall, limits: r.limits,
 		jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{}, held: map[WorkerID]bool{},
-		durations: map[QueueName]*durations{}, adviceCalls: map[uint64]*adviceCall{},
+		policies: map[QueueName]*Queue{}, durations: map[QueueName]*durations{}, adviceCalls: map[uint64]*adviceCall{},
 		advisers: []*adviser{{}},
 		log:      logWriter{next: 1},
 	}
@@ -77,12 +80,20 @@
 func (c *cell) emit(e Effect)                   { c.r.emit(e) }
 func (c *cell) decide(d Decision)               { c.r.emit(d) }
 func (c *cell) reply(t Token, a Answer)         { c.r.reply(t, a) }
-func (c *cell) queue(name QueueName) *Queue     { return c.r.queue(name) }
 func (c *cell) mayStart() bool                  { return c.r.leaseValid() && !c.handingOver }
 func (c *cell) mayHold() bool                   { return c.r.holdAllowed() }
 func (c *cell) fenced(worker WorkerID)          { c.r.fenced(worker) }
 func (c *cell) later(d time.Duration, f func()) { c.timers = append(c.timers, timer{c.now.Add(d), f}) }
 
+// queue returns a queue of the configuration in force, or as it was before it was
+// removed: accepted jobs are carried through.
+func (c *cell) queue(name QueueName) *Queue {
+	if q := c.r.queue(name); q != nil {
+		return q
+	}
+	return c.policies[name]
+}
+
 // service is the service that runs a queue's tasks.
 func (c *cell) service(name QueueName) string {
 	if q := c.queue(name); q != nil {
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -11,20 +11,20 @@
 
 // Queue is where the jobs of one kind wait.
 type Queue struct {
-	Name QueueName
+	Name QueueName `json:"name"`
 	// Service names the workers that run the queue's tasks.
-	Service string
+	Service string `json:"service"`
 	// Priority orders queues; 0 comes first.
-	Priority int
+	Priority int `json:"priority,omitempty"`
 	// Attempts is how often a task may fail before its job fails.
-	Attempts int
+	Attempts int `json:"attempts,omitempty"`
 	// Stretch and SLO give a job's objective: Stretch times its longest chain
 	// of work, and SLO more.
-	Stretch float64
-	SLO     time.Duration
+	Stretch float64       `json:"stretch,omitempty"`
+	SLO     time.Duration `json:"slo,omitempty"`
 	// Advice, if set, means that only the workers that the advice service names
 	// may run a step.
-	Advice *AdvicePolicy
+	Advice *AdvicePolicy `json:"advice,omitempty"`
 }
 
 // AdvicePolicy describes what an answer of the advice service costs and how long
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -146,14 +146,14 @@
 }
 
 // records returns the durable state of a job for a snapshot.
-func (j *job) records() []Record {
+func (j *job) records(policy *Queue) []Record {
 	if !j.durable {
 		return nil
 	}
 	if j.shown.final() {
 		return []Record{{Job: j.id, Queue: j.queue, Accepted: j.accepted, Final: j.shown, FinalAt: j.finalWall}}
 	}
-	rec := Record{Job: j.id, Queue: j.queue, Accepted: j.accepted, Spec: j.spec, Cancelled: j.cancelled}
+	rec := Record{Job: j.id, Queue: j.queue, Accepted: j.accepted, Spec: j.spec, Policy: policy, Cancelled: j.cancelled}
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
 			for _, run := range failedRuns(s.gangFailures, s.failedRun) {
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -8,6 +8,9 @@
 	Accepted int64     `json:"at,omitempty"`
 	Queue    QueueName `json:"queue,omitempty"`
 	Spec     *JobSpec  `json:"spec,omitempty"`
+	// Policy is the queue as it was when the job was accepted. It serves an
+	// owner that has never seen a configuration with the queue.
+	Policy *Queue `json:"policy,omitempty"`
 	// Ends are ends of runs of the job's tasks.
 	Ends []EndRecord `json:"ends,omitempty"`
 	// Starts are runs that are about to be ordered. A successor has to assume
@@ -203,7 +206,7 @@
 		}
 	}
 	for _, j := range c.jobOrder() {
-		records = append(records, j.records()...)
+		records = append(records, j.records(c.queue(j.queue))...)
 	}
 	w.snapshot = nil
 	for part := 1; ; part++ {
@@ -292,6 +295,9 @@
 			continue
 		}
 		j := c.jobs[rec.Job]
+		if rec.Policy != nil {
+			c.policies[rec.Queue] = rec.Policy
+		}
 		if rec.Spec != nil && j == nil {
 			j = c.addJob(rec.Job, rec.Queue, rec.Spec, rec.Accepted)
 			j.durable = true
--- a/scheduler/log_test.go
+++ b/scheduler/log_test.go
@@ -68,7 +68,7 @@
 	c.attach(task, c.workers["w00"], 2)
 	restored := newCell(c.r)
 	info := c.workers["w00"].info
-	restored.applyRecords(append([]Record{{Worker: &info}}, j.records()...))
+	restored.applyRecords(append([]Record{{Worker: &info}}, j.records(nil)...))
 	got := restored.find(task.id())
 	if got.run == nil || got.run.number != 2 || got.checkpoint != "half" || got.failures != 1 {
 		t.Errorf("restored task %+v", got)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -68,6 +68,9 @@
 }
 
 // firstInTime is the index of the first stage that can still meet its objective.
+// The list is ordered by the latest start alone, so with the tolerance the index
+// is approximate.
+//
 // In a flood the late ones would otherwise go before all others and make each of
 // them late as well. They get what is left, and every eighth pass.
 func (c *cell) firstInTime() int {
--- a/scheduler/promises_test.go
+++ b/scheduler/promises_test.go
@@ -322,3 +322,20 @@
 		t.Error("the planned run was dropped")
 	}
 }
+
+// TestJobsOfRemovedQueuesAreCarriedThrough guards against accepted jobs that no
+// owner can place because their queue left the configuration before it started.
+func TestJobsOfRemovedQueuesAreCarriedThrough(t *testing.T) {
+	play(t, func(w *world) {
+		w.at(8*time.Second, func() {
+			removed := *w.config
+			removed.Version++
+			removed.Queues = map[QueueName]*Queue{"urgent": w.config.Queues["urgent"], "gangs": w.config.Queues["gangs"]}
+			w.config = &removed
+			for _, h := range w.hosts {
+				w.kill(h)
+				w.at(time.Second, func() { w.startHost(h) })
+			}
+		})
+	})
+}
