Repair stranded tasks, and tell answers of an earlier term apart

Reading found two faults that can strand a task: calls were numbered anew in each term of a host, so a late answer could be taken for one to the present owner's call, also as a worker's obedience to the new token; and a task whose inherited run had ended elsewhere was not queued again. Change: calls carry the generation, the task is queued, and every two seconds the tasks of open jobs are compared with runs and queue; a repair is logged. Tests: TestAnswersToAnEarlierOwnerAreIgnored, TestReconcileRequeuesStrandedTasks (both fail without), TestNoRepairsAreNeeded.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -127,10 +127,10 @@
 	if cost >= longCall {
 		host.long++
 	}
-	c.calls++
-	c.adviceCalls[c.calls] = call
+	id := c.nextCall()
+	c.adviceCalls[id] = call
 	s.advice.inFlight = true
-	c.emit(AskAdvice{Call: c.calls, Host: host.address, Step: s.stepName(), Workers: call.workers, Timeout: cost + host.backlog + adviceTimeout})
+	c.emit(AskAdvice{Call: id, Host: host.address, Step: s.stepName(), Workers: call.workers, Timeout: cost + host.backlog + adviceTimeout})
 }
 
 // adviceCandidates lists the workers to ask about: first those known to be good
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -85,6 +85,17 @@
 func (c *cell) fenced(worker WorkerID)          { c.r.fenced(worker) }
 func (c *cell) later(d time.Duration, f func()) { c.timers = append(c.timers, timer{c.now.Add(d), f}) }
 
+// nextCall numbers a call whose answer is matched by its number. Numbers of
+// different generations differ: an answer to a call that this host made as an
+// earlier owner must not be taken for one to a call of the present owner.
+func (c *cell) nextCall() uint64 {
+	c.calls++
+	return uint64(c.generation)<<generationShift | c.calls
+}
+
+// generationShift leaves room for 2^40 calls of an owner.
+const generationShift = 40
+
 // queue returns a queue of the configuration in force, or as it was before it was
 // removed: accepted jobs are carried through.
 func (c *cell) queue(name QueueName) *Queue {
@@ -102,8 +113,10 @@
 	return ""
 }
 
-// forgetEvery is how often ended jobs are looked for that can be forgotten.
-const forgetEvery = 5 * time.Second
+// forgetEvery is how often ended jobs are looked for that can be forgotten, and
+// open ones whose tasks wait for nothing. Twice this time is well below the
+// objective of the longest jobs.
+const forgetEvery = 2 * time.Second
 
 // advance does what is due.
 func (c *cell) advance() {
@@ -114,6 +127,7 @@
 	if c.now.Sub(c.lastForget) >= forgetEvery {
 		c.lastForget = c.now
 		c.forgetEnded()
+		c.reconcile()
 	}
 	c.dirty = true
 }
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -81,7 +81,7 @@
 
 // sendHold asks a worker for its runs and extends its lease.
 func (c *cell) sendHold(w *worker) {
-	w.hold.call++
+	w.hold.call = c.nextCall()
 	w.hold.inFlight = true
 	w.hold.sent = c.now
 	h := Hold{
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -45,6 +45,7 @@
 	t.lastRun = max(t.lastRun, e.Run)
 	if t.run != nil && t.run.state == runInherited && t.run.number <= e.Run {
 		c.replaceRun(t)
+		c.enqueue(s)
 	}
 	if e.Checkpoint != "" && s.step.Checkpointing {
 		c.applyCheckpoint(s, t, e.Checkpoint)
--- /dev/null
+++ b/scheduler/reconcile_test.go
@@ -0,0 +1,83 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+)
+
+// TestReconcileRequeuesStrandedTasks guards against a task that no transition puts
+// back into the ready list: one was left without a run for 33 s on ptu-ops scale-2.
+func TestReconcileRequeuesStrandedTasks(t *testing.T) {
+	w := newWorld(t, 4, 1, 3)
+	w.run(time.Second)
+	spec := JobSpec{Steps: []Step{{Count: 2, Need: Resources{MilliCPU: 100}, Estimate: 100 * msec}}}
+	id := JobID("00000000000000aa")
+	cut := true
+	w.faults.workerCut = func(WorkerID, Time) bool { return cut }
+	w.submit(id, "batch", spec, 5)
+	w.run(50 * time.Millisecond)
+	c := w.owner().r.cell
+	s := c.jobs[id].occurrences[0].stages[0]
+	for _, task := range s.tasks {
+		if task.run != nil {
+			c.releaseRun(task.run)
+			task.run = nil
+		}
+		task.state = taskAssigned
+	}
+	s.waiting, s.queued, c.ready = 0, false, nil
+	w.run(time.Second)
+	cut = false
+	w.run(20 * time.Second)
+	if c.jobs[id] == nil || s.done != 2 || !w.jobs[id].complete {
+		t.Error("the job was not completed")
+	}
+}
+
+// TestNoRepairsAreNeeded guards against transitions that strand a task, which
+// reconciliation would hide.
+func TestNoRepairsAreNeeded(t *testing.T) {
+	play(t, func(w *world) {
+		w.faults.loseAnswer, w.faults.lateOrder = 0.05, 0.05
+		w.onDecision = func(d Decision) {
+			if d.Outcome == "repaired" {
+				w.report("job %s was repaired: %+v", d.Job, d)
+			}
+		}
+		for i := range 3 {
+			w.at(time.Duration(5+4*i)*time.Second, func() {
+				w.crashWorker()
+				for _, h := range w.hosts {
+					w.kill(h)
+					w.at(time.Duration(300+w.rng.IntN(1500))*msec, func() { w.startHost(h) })
+				}
+			})
+		}
+	})
+}
+
+// TestAnswersToAnEarlierOwnerAreIgnored guards against a look at a worker from an
+// earlier term of this host that counts as the worker's obedience to the present
+// one: runs that it does not list would be started again.
+func TestAnswersToAnEarlierOwnerAreIgnored(t *testing.T) {
+	w := newWorld(t, 4, 1, 1)
+	w.run(time.Second)
+	h := w.owner()
+	earlier := h.r.cell.calls
+	h.r.stepDown("test")
+	w.store.owner = nil
+	w.store.revision++
+	w.store.ownerRev = w.store.revision
+	w.faults.workerCut = func(WorkerID, Time) bool { return true }
+	w.run(300 * time.Millisecond)
+	worker := h.r.cell.workers["w00"]
+	if !worker.hold.inFlight {
+		t.Fatal("the worker is not being asked")
+	}
+	for call := uint64(1); call <= earlier+3; call++ {
+		w.post(h, h.life, HoldAnswered{Worker: "w00", Call: call, Born: worker.info.Born, Clock: 1})
+	}
+	if h.r.cell.generation < 2 || worker.contacted {
+		t.Errorf("generation %d, contacted %v", h.r.cell.generation, worker.contacted)
+	}
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -26,8 +26,10 @@
 	jobs    map[JobID]*fakeJob
 	tokens  Token
 	broken  []string
-	debug   bool
-	lines   []string
+	// onDecision, if set, sees each decision.
+	onDecision func(Decision)
+	debug      bool
+	lines      []string
 }
 
 // faults are the shares and times of what goes wrong.
@@ -252,6 +254,9 @@
 	case Reply:
 		w.replied(h, f)
 	case Decision:
+		if w.onDecision != nil {
+			w.onDecision(f)
+		}
 		if w.debug {
 			w.lines = append(w.lines, fmt.Sprintf("%.3f host%d %+v", float64(w.now-Time(time.Hour))/1e9, h.index, f))
 		}
