--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := bin
 PROGRAMS := $(notdir $(wildcard cmd/*))
 
-.PHONY: help build test lint run serve bench bench-quick soak clean
+.PHONY: help build test lint run run-platform serve bench bench-quick soak clean
 
 help: ## list the targets
 	@grep -E '^[a-z-]+:.*##' Makefile | sed 's/:.*##/:/'
@@ -26,6 +26,9 @@
 serve: build ## serve an embedded daemon on 127.0.0.1:7600 until interrupted
 	$(BIN)/banyanrun-entry --embedded --data-centre sask-regina
 
+run-platform: ## show jobs on the emulated platform of the users, with hosts that are killed
+	go test ./host -count=1 -v -run 'TestJobsOnThePlatform|TestJobsSurviveTheirHosts'
+
 bench: ## run every measure (under ten minutes)
 	go run ./cmd/banyanrun-bench --commit "$$(git rev-parse HEAD)"
 
