--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -5,7 +5,7 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
 if [ ! -x target/banyanrun-host ] || [ ! -x review/bin/standin ]; then
-  echo "build the deploy file and run review/build.sh first" >&2
+  echo "the programs in target/ and review/bin/ are not built" >&2
   exit 2
 fi
 timeout --kill-after=2 118 review/bin/standin -case reclaim -record "$folder/record.txt"
