Claim the ownership only with the state of the whole log

Cause: a claim required no owner record and an unused next sequence number. Change: a claim also names the revision of the last group that the claimant knows. Groups are deleted in ascending order, so that group is gone if a later one was deleted. A former owner that finds the log changed gives up its state and reads the log. First claims use the same condition, because the log can change between their read and the claim.

--- a/host/store.go
+++ b/host/store.go
@@ -26,7 +26,7 @@
 
 // readLog reads all groups of the log.
 func (d *Daemon) readLog(ctx context.Context) scheduler.LogRead {
-	var groups []scheduler.Group
+	var read scheduler.LogRead
 	after := ""
 	for {
 		page, err := d.listPage(ctx, logPrefix, after)
@@ -38,10 +38,11 @@
 			if err := json.Unmarshal(page.Items[i].Value, &g); err != nil {
 				return scheduler.LogRead{Err: fmt.Errorf("decode log group at key %q: %w", page.Items[i].Key, err)}
 			}
-			groups = append(groups, g)
+			read.Groups = append(read.Groups, g)
+			read.LastRevision = page.Items[i].Revision
 		}
 		if page.Next == "" {
-			return scheduler.LogRead{Groups: groups}
+			return read
 		}
 		after = page.Next
 	}
@@ -61,7 +62,7 @@
 
 // claimOwnership acquires a lease and writes the owner record under it, together
 // with the first group of the new owner. It fails if there is another owner or the
-// group's sequence number is taken.
+// log does not end with the group that precedes the new one.
 func (d *Daemon) claimOwnership(ctx context.Context, e scheduler.ClaimOwnership) scheduler.ClaimAnswered {
 	sent := now()
 	lease, ttl, err := d.store.GrantLease(ctx, e.TTL)
@@ -77,19 +78,25 @@
 	if err != nil {
 		return d.claimNotSent(err)
 	}
-	key := logKey(e.Opening.Sequence)
+	key, precedingKey := logKey(e.Opening.Sequence), logKey(e.Opening.Sequence-1)
 	result := d.store.Apply(ctx, platform.Change{
-		Conditions: []platform.Condition{{Key: ownerKey, Revision: e.Replaces}, {Key: key}},
-		Writes:     []platform.Write{{Key: ownerKey, Value: record, Lease: lease}, {Key: key, Value: opening}},
+		Conditions: []platform.Condition{
+			{Key: ownerKey, Revision: e.Replaces}, {Key: key}, {Key: precedingKey, Revision: e.Preceding},
+		},
+		Writes: []platform.Write{{Key: ownerKey, Value: record, Lease: lease}, {Key: key, Value: opening}},
 	})
 	answer := scheduler.ClaimAnswered{Outcome: result.Outcome, Lease: lease, Sent: sent, TTL: ttl, Revision: result.Revision}
 	if result.Outcome == scheduler.InDoubt {
 		d.confirmClaim(ctx, record, &answer)
 	}
 	for i := range result.Current {
-		if item := &result.Current[i]; item.Revision != 0 {
-			answer.OwnerExists = answer.OwnerExists || item.Key == ownerKey
-			answer.LogTaken = answer.LogTaken || item.Key == key
+		switch item := &result.Current[i]; item.Key {
+		case ownerKey:
+			answer.OwnerExists = item.Revision != 0
+		case key:
+			answer.LogChanged = answer.LogChanged || item.Revision != 0
+		case precedingKey:
+			answer.LogChanged = answer.LogChanged || item.Revision != e.Preceding
 		}
 	}
 	if result.Err != nil {
@@ -131,13 +138,13 @@
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
 	d.metrics.observeCall("store", outcomeLabel(result.Err), time.Since(began))
-	answer.Outcome = result.Outcome
+	answer.Outcome, answer.Revision = result.Outcome, result.Revision
 	if result.Outcome == scheduler.Conflict {
 		for i := range result.Current {
 			item := &result.Current[i]
 			switch {
 			case item.Key == key && item.Revision != 0:
-				answer.Ours = string(item.Value) == string(value)
+				answer.Ours, answer.Revision = string(item.Value) == string(value), item.Revision
 				answer.Taken = !answer.Ours
 			case item.Key == ownerKey && item.Revision != e.OwnerRevision:
 				answer.Lost = true
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -101,13 +101,21 @@
 
 // ClaimOwnership obtains a lease and writes the owner record under it, together
 // with the first group of the new owner. The write succeeds only if there is no
-// owner record, or the one that Replaces names, and the group's sequence number is
-// unused.
+// owner record, or the one that Replaces names, and if the log ends with the group
+// before Opening: that group has the revision Preceding, and the sequence number of
+// Opening is unused.
+//
+// The unused sequence number alone does not show that the log is unchanged: an owner
+// in between deletes its groups once a snapshot has replaced them. Groups are deleted
+// in ascending order, so the preceding group is then gone too.
 type ClaimOwnership struct {
 	effect
 	Record  OwnerRecord
 	Opening Group
-	TTL     time.Duration
+	// Preceding is the store's revision of the group before Opening, or 0 if there is
+	// none.
+	Preceding int64
+	TTL       time.Duration
 	// Replaces is the revision of the owner record of an earlier process of this
 	// host, which is known to have ended, or 0 if there must be no record.
 	Replaces int64
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -97,7 +97,10 @@
 type LogRead struct {
 	event
 	Groups []Group
-	Err    error
+	// LastRevision is the store's revision of the last group, or 0 if the log is
+	// empty.
+	LastRevision int64
+	Err          error
 }
 
 // Outcome says what is known about the effect of a write to the store.
@@ -124,11 +127,13 @@
 	// then.
 	Sent Time
 	// TTL is the lease's time to live.
-	TTL      time.Duration
+	TTL time.Duration
+	// Revision is the store's revision of both the owner record and the opening
+	// group.
 	Revision int64
-	// OwnerExists and LogTaken say which precondition failed: there is an owner
-	// record, or the log's sequence number is in use.
-	OwnerExists, LogTaken bool
+	// OwnerExists and LogChanged say which precondition failed: there is an owner
+	// record, or the log no longer ends with the group that the claimant knows.
+	OwnerExists, LogChanged bool
 }
 
 // LeaseRenewed is the result of RenewLease.
@@ -148,6 +153,8 @@
 	event
 	Sequence int64
 	Outcome  Outcome
+	// Revision is the store's revision of the group if it is in the store.
+	Revision int64
 	// Lost means that the owner record no longer belongs to this host.
 	Lost bool
 	// Taken means that a different group has the sequence number.
--- a/scheduler/fakestore_test.go
+++ b/scheduler/fakestore_test.go
@@ -49,7 +49,7 @@
 		return h
 	}
 	for _, o := range sim.hosts {
-		if o.address == via && o.alive {
+		if o.address == via && o.alive && !sim.isIsolated(h) && !sim.isIsolated(o) {
 			return o
 		}
 	}
@@ -84,18 +84,20 @@
 			if err := json.Unmarshal(s.log[seq], &g); err != nil {
 				sim.t.Fatal(err)
 			}
-			e.Groups = append(e.Groups, g)
+			e.Groups, e.LastRevision = append(e.Groups, g), s.logRevisions[seq]
 		}
 		return e
 	case ClaimOwnership:
-		if s.owner != nil && s.ownerRevision != f.Replaces || s.log[f.Opening.Sequence] != nil {
-			return ClaimAnswered{Outcome: Conflict, OwnerExists: s.owner != nil, LogTaken: s.log[f.Opening.Sequence] != nil}
+		logChanged := s.log[f.Opening.Sequence] != nil || s.logRevisions[f.Opening.Sequence-1] != f.Preceding
+		if s.owner != nil && s.ownerRevision != f.Replaces || logChanged {
+			return ClaimAnswered{Outcome: Conflict, OwnerExists: s.owner != nil, LogChanged: logChanged}
 		}
 		s.revision++
 		s.leaseCount++
 		record := f.Record
 		s.owner, s.ownerRevision, s.lease, s.ttl, s.leaseEnd = &record, s.revision, s.leaseCount, f.TTL, sim.now.Add(f.TTL)
 		s.log[f.Opening.Sequence], _ = json.Marshal(f.Opening)
+		s.logRevisions[f.Opening.Sequence] = s.revision
 		return ClaimAnswered{Outcome: Done, Lease: s.lease, Sent: sim.now, TTL: f.TTL, Revision: s.revision}
 	case RenewLease:
 		if s.owner == nil || s.lease != f.Lease {
@@ -119,6 +121,7 @@
 		}
 		for seq := f.From; seq <= f.Through; seq++ {
 			delete(s.log, seq)
+			delete(s.logRevisions, seq)
 		}
 		return GroupsDeleted{Through: f.Through}
 	}
@@ -134,7 +137,7 @@
 	}
 	if old := s.log[f.Group.Sequence]; old != nil {
 		e.Outcome, e.Ours = Conflict, string(old) == string(value)
-		e.Taken = !e.Ours
+		e.Taken, e.Revision = !e.Ours, s.logRevisions[f.Group.Sequence]
 	}
 	if s.owner == nil || s.ownerRevision != f.OwnerRevision {
 		e.Outcome, e.Lost = Conflict, true
@@ -143,7 +146,8 @@
 		return e
 	}
 	s.revision++
-	s.log[f.Group.Sequence] = value
+	s.log[f.Group.Sequence], s.logRevisions[f.Group.Sequence] = value, s.revision
+	e.Revision = s.revision
 	return e
 }
 
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -84,7 +84,7 @@
 	if _, ok := f.(Hold); ok {
 		late = false
 	}
-	if fw == nil || !fw.up || sim.isPartitioned(fw) {
+	if fw == nil || !fw.up || sim.isPartitioned(fw) || sim.isIsolated(h) {
 		sim.at(700*msec, func() { sim.post(h, incarnation, failed) })
 		return
 	}
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -94,7 +94,10 @@
 	// next is the sequence number of the next group, first the lowest one that may
 	// still be in the store.
 	next, first int64
-	pending     []Record
+	// lastRevision is the store's revision of the group before next, or 0 if the log
+	// is empty. A claim succeeds only if this group is unchanged.
+	lastRevision int64
+	pending      []Record
 	// pendingSize is the estimated size of the pending records. lastOfJob maps each
 	// job that has pending records to the position of its last one, as counted by
 	// appended.
@@ -249,12 +252,13 @@
 	}
 }
 
-// groupDurable does what follows once the group in flight is in the store.
-func (c *cell) groupDurable() {
+// groupDurable does what follows once the group in flight is in the store, at the
+// given revision.
+func (c *cell) groupDurable(revision int64) {
 	l := &c.log
 	g := l.inFlight
 	l.inFlight, l.writeFailed = nil, false
-	l.next = g.Sequence + 1
+	l.next, l.lastRevision = g.Sequence+1, revision
 	if g.SnapshotLast {
 		c.deleteBefore(l.snapshotSequence)
 	}
--- a/scheduler/log_test.go
+++ b/scheduler/log_test.go
@@ -58,7 +58,7 @@
 	}
 	c.flush()
 	written := len(c.log.inFlight.Records)
-	c.groupDurable()
+	c.groupDurable(1)
 	if ran != written || len(c.log.pending) == 0 {
 		t.Errorf("%d callbacks ran after the first group of %d records was written", ran, written)
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -178,6 +178,7 @@
 	}
 	c := newCell(r)
 	c.replay(e.Groups)
+	c.log.lastRevision = e.LastRevision
 	r.pendingCell = c
 	r.claim(c)
 }
@@ -189,8 +190,9 @@
 	record := OwnerRecord{Host: r.self.Host, Address: r.self.Address, Generation: c.generation + 1}
 	r.emit(ClaimOwnership{
 		Record: record, TTL: max(leaseTTL, r.limits.MinStoreLease),
-		Opening:  Group{Sequence: c.log.next, Generation: record.Generation, Host: r.self.Host},
-		Replaces: r.replacedRecord(),
+		Opening:   Group{Sequence: c.log.next, Generation: record.Generation, Host: r.self.Host},
+		Preceding: c.log.lastRevision,
+		Replaces:  r.replacedRecord(),
 	})
 }
 
@@ -210,10 +212,7 @@
 		return
 	}
 	if e.Outcome != Done {
-		if e.Outcome == Conflict && e.OwnerExists {
-			r.emit(ReadOwner{})
-		}
-		r.abortClaim("the store rejected the claim or did not confirm it")
+		r.handleClaimFailed(e)
 		return
 	}
 	c := r.pendingCell
@@ -229,6 +228,7 @@
 	o.known, o.present, o.revision = true, true, e.Revision
 	o.record = OwnerRecord{Host: r.self.Host, Address: r.self.Address, Generation: c.generation}
 	c.log.next++
+	c.log.lastRevision = e.Revision
 	if c.log.first == 0 {
 		c.log.first = c.log.next - 1
 	}
@@ -247,8 +247,22 @@
 	r.publishReady()
 }
 
+// handleClaimFailed aborts a takeover. A host that was the owner gives up its state if
+// the log has changed and no owner record explains that, because no claim with this
+// state can succeed.
+func (r *Reducer) handleClaimFailed(e ClaimAnswered) {
+	r.abortClaim("the store rejected the claim or did not confirm it", Field{"log_changed", boolField(e.LogChanged)},
+		Field{"owner_exists", boolField(e.OwnerExists)})
+	switch {
+	case e.OwnerExists:
+		r.emit(ReadOwner{})
+	case e.LogChanged && r.cell != nil:
+		r.stepDown("the log has changed since this host was the owner")
+	}
+}
+
 // resumeLog resumes writing the log after this host has regained the ownership. No
-// other host was the owner in between, or the claim would have failed.
+// other host was the owner in between, or the claim would have found the log changed.
 func (c *cell) resumeLog() {
 	c.log.snapshot = nil
 	if g := c.log.inFlight; g != nil && g.Snapshot > 0 {
@@ -267,7 +281,7 @@
 
 // abortClaim ends a failed takeover and plans the next attempt. An owner whose lease
 // has ended keeps its state and tries to reclaim the ownership.
-func (r *Reducer) abortClaim(reason string) {
+func (r *Reducer) abortClaim(reason string, inputs ...Field) {
 	o := &r.owner
 	o.phase = phaseFollow
 	r.pendingCell = nil
@@ -275,7 +289,7 @@
 		o.phase, o.reclaiming = phaseOwner, true
 	}
 	o.claimAt = r.now.Add(claimRetryDelay + time.Duration(r.rng.Int64N(int64(claimJitter))))
-	r.emit(Decision{Kind: "owner", Outcome: "claim_failed", Reason: reason})
+	r.emit(Decision{Kind: "owner", Outcome: "claim_failed", Reason: reason, Fields: inputs})
 }
 
 // advanceLease renews the lease when it is due, or claims the ownership again after
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -265,7 +265,7 @@
 	}
 	switch {
 	case e.Outcome == Done || e.Ours:
-		c.groupDurable()
+		c.groupDurable(e.Revision)
 	case e.Taken:
 		c.reducer.stepDown("another owner has written to the log")
 	case e.Lost:
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -48,7 +48,10 @@
 	storeDown         func(Time) bool
 	hostPartitioned   func(host int, at Time) bool
 	workerPartitioned func(id WorkerID, at Time) bool
-	failureRate       float64
+	// hostIsolated reports whether a host is cut off from the store, the other hosts
+	// and the workers.
+	hostIsolated func(host int, at Time) bool
+	failureRate  float64
 	// dropForwardAnswers means that forwarded requests get no answer.
 	dropForwardAnswers bool
 	// baseLatency is the tail latency of serving tasks in milliseconds, interference
@@ -114,7 +117,9 @@
 	leaseEnd      Time
 	ttl           time.Duration
 	log           map[int64][]byte
-	leaseCount    int64
+	// logRevisions holds the revision of each group.
+	logRevisions map[int64]int64
+	leaseCount   int64
 }
 
 const simulationWallStartMS = 1_700_000_000_000
@@ -127,7 +132,7 @@
 			MinStoreLease: time.Second,
 		},
 	}
-	sim.store.log = map[int64][]byte{}
+	sim.store.log, sim.store.logRevisions = map[int64][]byte{}, map[int64]int64{}
 	sim.config = &Config{Version: 1, Services: map[string]*Service{"svc": {Name: "svc"}}, Queues: map[QueueName]*Queue{
 		"urgent": {Name: "urgent", Service: "svc", Attempts: 3, Stretch: 1.5, SLO: 500 * msec},
 		"gangs":  {Name: "gangs", Service: "svc", Priority: 1, Attempts: 3, Stretch: 2.2, SLO: time.Second},
@@ -232,7 +237,11 @@
 	if sim.faults.storeDown != nil && sim.faults.storeDown(sim.now) {
 		return false
 	}
-	return sim.faults.hostPartitioned == nil || !sim.faults.hostPartitioned(h.index, sim.now)
+	return !sim.isIsolated(h) && (sim.faults.hostPartitioned == nil || !sim.faults.hostPartitioned(h.index, sim.now))
+}
+
+func (sim *simulation) isIsolated(h *fakeHost) bool {
+	return sim.faults.hostIsolated != nil && sim.faults.hostIsolated(h.index, sim.now)
 }
 
 func (sim *simulation) listWorkers(h *fakeHost, incarnation int) {
@@ -284,7 +293,7 @@
 		sim.forward(h, incarnation, f)
 	case Hello:
 		for _, o := range sim.hosts {
-			if o.address == f.Address {
+			if o.address == f.Address && !sim.isIsolated(h) && !sim.isIsolated(o) {
 				targetIncarnation := o.incarnation
 				sim.at(sim.delay(), func() { sim.post(o, targetIncarnation, HelloReceived{Host: h.address, Address: h.address}) })
 			}
@@ -332,7 +341,7 @@
 			to = o
 		}
 	}
-	if sim.faults.dropForwardAnswers {
+	if sim.faults.dropForwardAnswers || sim.isIsolated(h) || sim.isIsolated(to) {
 		sim.at(f.Timeout, func() { sim.post(h, incarnation, ForwardAnswered{Token: f.Token, Failed: true, Written: true}) })
 		return
 	}
