Ignore outdated deletions of the owner record

Cause: after a cut, the watch reports the deletion of an earlier record, revision 1332, after this host's claim at revision 1770. Outdated records were ignored, outdated deletions were not. Change: the revision of a deletion is compared too. Measured: TestOutdatedOwnerDeletionIsIgnored fails on the code before; all tests of scheduler pass.

--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -51,9 +51,10 @@
 type ownership struct {
 	phase phase
 	// known means that present, record and revision are as read from the store.
-	known    bool
-	present  bool
-	record   OwnerRecord
+	known   bool
+	present bool
+	record  OwnerRecord
+	// revision is the store's revision of the record, or of its deletion.
 	revision int64
 	// claimAt is when to start a claim, or 0 if none is planned.
 	claimAt        Time
@@ -77,14 +78,13 @@
 // handleOwnerSeen applies the owner record that was read from the store.
 func (r *Reducer) handleOwnerSeen(e OwnerSeen) {
 	o := &r.owner
-	if o.known && e.Revision != 0 && e.Revision < o.revision && e.Present {
+	if o.known && e.Revision != 0 && e.Revision < o.revision {
+		// An outdated record, or the deletion of one.
 		return
 	}
 	changed := !o.known || o.present != e.Present || o.record != e.Record
 	o.known, o.present, o.record = true, e.Present, e.Record
-	if e.Present {
-		o.revision = e.Revision
-	}
+	o.revision = max(o.revision, e.Revision)
 	if changed {
 		r.emit(Decision{Kind: "owner", Outcome: "seen", Reason: e.Record.Host, Fields: []Field{
 			{"present", boolField(e.Present)}, {"generation", e.Record.Generation}, {"revision", e.Revision}}})
--- a/scheduler/owner_test.go
+++ b/scheduler/owner_test.go
@@ -60,3 +60,22 @@
 		})
 	}
 }
+
+// TestOutdatedOwnerDeletionIsIgnored guards against an owner that gives up its lease
+// because a watch reports the deletion of an earlier owner record late, for example
+// after the host was cut off from the store.
+func TestOutdatedOwnerDeletionIsIgnored(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 1)
+	sim.store.revision = 10
+	sim.run(3 * time.Second)
+	h := sim.owner()
+	revision := sim.store.ownerRevision
+	sim.post(h, h.incarnation, OwnerSeen{Revision: revision - 1})
+	if !h.r.leaseValid() {
+		t.Error("the owner gave up its lease after an outdated deletion")
+	}
+	sim.post(h, h.incarnation, OwnerSeen{Revision: revision + 1})
+	if h.r.leaseValid() {
+		t.Error("the owner kept its lease after its record was deleted")
+	}
+}
