Compute the critical paths of a job in one pass over its steps

Cause: criticalPath called itself for each dependent stage without keeping results, so its time was the number of chains, 2^39 here. The objective repeated that for each stage without dependencies and scanned all later stages, so 18,000 independent steps hung the host too. Evidence: nothing about the job is logged after its submission; TestJobsWithManyStepsAreHandled fails on the code before in all four cases (not handled after 8 s there). Change: one pass from the last stage to the first, which visits each dependency once; the result serves all stages that one event enqueues. canEverFit, which compared each step with each worker, stops at the first workers that suffice.

--- a/scheduler/feasible.go
+++ b/scheduler/feasible.go
@@ -78,7 +78,9 @@
 			if step.MaxPerWorker > 0 {
 				n = min(n, step.MaxPerWorker)
 			}
-			places += n
+			if places += n; places >= needed {
+				break
+			}
 		}
 		if places < needed {
 			return false
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -40,7 +40,8 @@
 	// openStages is the number of stages that are not complete.
 	openStages int
 	// opened means that the occurrence is due and its stages may be queued.
-	opened bool
+	opened   bool
+	critical criticalPaths
 }
 
 // stage is a step of an occurrence.
--- a/scheduler/readylist.go
+++ b/scheduler/readylist.go
@@ -14,7 +14,7 @@
 	}
 	s.queued = true
 	s.readyAt = c.now
-	s.latestStart = c.objective(s.occ).Add(-c.criticalPath(s))
+	s.latestStart = c.objective(s.occ).Add(-c.criticalPaths(s.occ).from[s.index])
 	c.insertReady(s)
 	c.dirty = true
 }
@@ -45,12 +45,7 @@
 	if q == nil {
 		return j.acceptedAt.Add(defaultObjective)
 	}
-	longest := time.Duration(0)
-	for _, s := range o.stages {
-		if len(s.step.After) == 0 {
-			longest = max(longest, c.criticalPath(s))
-		}
-	}
+	longest := c.criticalPaths(o).longest
 	begin := j.acceptedAt
 	if j.spec.Repeat > 0 {
 		begin = c.now.Add(time.Duration(o.due-c.wall) * msec)
@@ -63,21 +58,46 @@
 
 func (o *occurrence) job() *job { return o.stages[0].job }
 
-// criticalPath returns the expected duration of the longest chain of dependent
-// stages that begins with a stage, including the calls for advice.
-func (c *cell) criticalPath(s *stage) time.Duration {
-	longest := time.Duration(0)
-	for _, next := range s.occ.stages[s.index+1:] {
-		if slices.Contains(next.step.After, s.index) {
-			longest = max(longest, c.criticalPath(next))
-		}
+// criticalPaths holds the expected durations of the longest chains of dependent stages
+// of an occurrence.
+type criticalPaths struct {
+	// from holds, for each stage, the duration of the longest chain that begins with it.
+	from []time.Duration
+	// longest is the largest of these durations.
+	longest time.Duration
+	// at is the time of the Step that computed them.
+	at Time
+}
+
+// criticalPaths returns the critical paths of an occurrence, including the calls for
+// advice. They are computed once per Step, in which all stages of a job may be enqueued.
+//
+// Each dependency is visited once, from the last stage to the first, because the number
+// of chains can double with each stage.
+func (c *cell) criticalPaths(o *occurrence) *criticalPaths {
+	p := &o.critical
+	if p.from != nil && p.at == c.now {
+		return p
+	}
+	if p.from == nil {
+		p.from = make([]time.Duration, len(o.stages))
 	}
-	duration := c.expectedDuration(s)
-	if s.advised() {
-		q := s.job.policy
-		duration += q.Advice.Base + typicalAdviceWorkers*q.Advice.PerWorker
+	clear(p.from)
+	p.longest, p.at = 0, c.now
+	for i, s := range slices.Backward(o.stages) {
+		// A stage depends on earlier ones only, so from[i] already holds the longest
+		// chain after it.
+		p.from[i] += c.expectedDuration(s)
+		if s.advised() {
+			q := s.job.policy
+			p.from[i] += q.Advice.Base + typicalAdviceWorkers*q.Advice.PerWorker
+		}
+		p.longest = max(p.longest, p.from[i])
+		for _, earlier := range s.step.After {
+			p.from[earlier] = max(p.from[earlier], p.from[i])
+		}
 	}
-	return duration + longest
+	return p
 }
 
 // typicalAdviceWorkers is the usual number of workers in a call for advice.
