Count the reserved places of a gang once against its limit per worker

Cause: the places that a gang can have are the free ones and the reserved ones. placesOn subtracted reserved processors, but not reserved places from the limit per worker, so these counted twice. If the first answer allowed at least half of the workers that the gang needs, no unknown ones were asked about any more. Change: reserved places count against the limit per worker.

--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -293,7 +293,7 @@
 	if j.cancelledAt != 0 && sim.now.Sub(j.cancelledAt) > 3*time.Second {
 		sim.addViolation("task %s starts %v after its job was cancelled", r.id, sim.now.Sub(j.cancelledAt))
 	}
-	if !adviceGood(r.id.StepName(), fw.info.ID) {
+	if !sim.adviceAllows(r.id.StepName(), fw.info.ID) {
 		sim.addViolation("task %s starts on %s without a valid ticket", r.id, fw.info.ID)
 	}
 }
--- a/scheduler/feasible.go
+++ b/scheduler/feasible.go
@@ -25,12 +25,13 @@
 	return s.step.Label == "" || slices.Contains(w.info.Labels, s.step.Label)
 }
 
-// placesOn returns the number of waiting tasks of a stage that fit on a worker now.
+// placesOn returns the number of waiting tasks of a stage that fit on a worker now, in
+// addition to those for which the stage has reserved capacity there.
 func (c *cell) placesOn(s *stage, w *worker) int {
 	c.comparisons++
 	n := placesIn(w.free(), s.step.charge(), s.waiting)
 	if n > 0 && s.step.MaxPerWorker > 0 {
-		n = min(n, s.step.MaxPerWorker-s.runsPerWorker[w])
+		n = min(n, s.step.MaxPerWorker-s.runsPerWorker[w]-s.reservedOn(w))
 	}
 	return max(0, n)
 }
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -104,6 +104,17 @@
 	return plan, false
 }
 
+// reservedOn returns the number of tasks for which a stage has reserved capacity on a
+// worker.
+func (s *stage) reservedOn(w *worker) int {
+	for _, p := range s.reserved {
+		if p.worker == w {
+			return p.tasks
+		}
+	}
+	return 0
+}
+
 // reserve reserves the capacity of a plan for a gang until the next pass.
 func (c *cell) reserve(s *stage, plan []allocation) {
 	if len(plan) == 0 {
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -59,6 +59,9 @@
 	baseLatency, interference int64
 	// adviceFails reports whether calls for advice through a host fail immediately.
 	adviceFails func(host string) bool
+	// adviceAllows reports whether a worker may run a step. adviceGood decides if it
+	// is nil.
+	adviceAllows func(step string, id WorkerID) bool
 }
 
 // scheduledAction is a function that runs at a time. order breaks ties.
@@ -312,17 +315,26 @@
 	}
 }
 
-// advise answers a call for advice. A hash decides whether a worker may run a step.
+// advise answers a call for advice.
 func (sim *simulation) advise(f AskAdvice) AdviceAnswered {
 	e := AdviceAnswered{Call: f.Call, Valid: 1500 * msec}
 	for _, id := range f.Workers {
-		if adviceGood(f.Step, id) {
+		if sim.adviceAllows(f.Step, id) {
 			e.Good = append(e.Good, Ticket{id, f.Step + string(id)})
 		}
 	}
 	return e
 }
 
+// adviceAllows reports whether the advice service allows a worker to run a step.
+func (sim *simulation) adviceAllows(step string, id WorkerID) bool {
+	if sim.faults.adviceAllows != nil {
+		return sim.faults.adviceAllows(step, id)
+	}
+	return adviceGood(step, id)
+}
+
+// adviceGood decides by a hash whether a worker may run a step.
 func adviceGood(step string, id WorkerID) bool {
 	sum := 0
 	for _, b := range []byte(step + string(id)) {
