Ask for the tickets of wide gangs in several calls

Seen: TestGangWiderThanOneCallStarts, a gang of 120 tasks with a limit of one task per worker in an idle cell of 350 workers, never starts on the code before. Cause: a call for advice names at most 100 workers. Calls for a gang named the first 100 allowed ones each time, so that the tickets of the others expired, and with 100 known workers there was no place for unknown ones. Change: with more allowed workers than a call may name, those whose tickets expire first come first. While the gang does not fit, at most half of a call names known workers.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -204,21 +204,32 @@
 	for _, p := range s.reserved {
 		placesNow += p.tasks
 	}
-	workers = workers[:min(len(workers), maxAdviceWorkers)]
+	if len(workers) > maxAdviceWorkers {
+		// Several calls are needed, so each continues where the last one ended.
+		slices.SortStableFunc(workers, func(a, b *worker) int {
+			return cmp.Compare(s.advice.results[a].validUntil, s.advice.results[b].validUntil)
+		})
+	}
 	needed := len(s.tasks)
 	if placesNow >= needed {
-		return workers
+		return workers[:min(len(workers), maxAdviceWorkers)]
 	}
 	var unknown []*worker
 	if float64(placesIfEmpty) < gangPlacesFactor*float64(needed) {
-		unknown = c.unknownCandidates(s, needed-placesNow, maxAdviceWorkers-len(workers), true)
+		known := min(len(workers), maxKnownWorkers)
+		unknown = c.unknownCandidates(s, needed-placesNow, maxAdviceWorkers-known, true)
 	}
 	if len(unknown) == 0 && (float64(placesNow) < earlyTicketRatio*float64(needed) || placesIfEmpty < needed) {
 		return nil
 	}
-	return append(workers, unknown...)
+	return append(workers[:min(len(workers), maxAdviceWorkers-len(unknown))], unknown...)
 }
 
+// maxKnownWorkers is the maximum number of allowed workers in a call for a gang that
+// also asks about unknown ones. Without a place for unknown workers in the call, a gang
+// that needs more workers than one call may name would never learn of enough of them.
+const maxKnownWorkers = maxAdviceWorkers / 2
+
 // gangPlacesFactor is the number of places for a gang on allowed workers, were they
 // empty, as a multiple of its width, from which no unknown workers are asked about.
 // With a smaller factor, gangs wait for the same few workers.
--- a/scheduler/gang_test.go
+++ b/scheduler/gang_test.go
@@ -54,3 +54,15 @@
 		})
 	}
 }
+
+// TestGangWiderThanOneCallStarts guards against a gang that never starts because it needs
+// tickets for more workers than one call for advice may name, and each call names the
+// same ones.
+func TestGangWiderThanOneCallStarts(t *testing.T) {
+	sim := newSimulation(t, 1, 4, 350)
+	sim.faults.adviceAllows = allowShare(45)
+	sim.run(2 * time.Second)
+	if unfinished := submitGangs(sim, 2, maxAdviceWorkers+20, 5*time.Second); len(unfinished) > 0 {
+		t.Errorf("gangs %v have not completed", unfinished)
+	}
+}
