Divide a log group that the store rejects for good

One group that the store rejects blocks the log: the owner repeats it five times a second, does not hand over while the write is pending, and keeps its lease. Cause: status 400, which the store returns for a value that is too large, was treated like 503, after which a repeated write can succeed.

--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -112,10 +112,14 @@
 	Done Outcome = iota
 	// Conflict means that a precondition of the write failed.
 	Conflict
-	// NotDone means that the write was not applied and never will be.
+	// NotDone means that this write was not applied and never will be. It can be
+	// repeated.
 	NotDone
 	// InDoubt means that the write may have been applied or may be applied later.
 	InDoubt
+	// Rejected means that the write was not applied and that the store will reject it
+	// again if it is repeated, for example because a value is too large.
+	Rejected
 )
 
 // ClaimAnswered is the result of ClaimOwnership.
--- a/scheduler/fakestore_test.go
+++ b/scheduler/fakestore_test.go
@@ -135,7 +135,7 @@
 	e := GroupWritten{Sequence: f.Group.Sequence, Via: f.Via}
 	value := encodeForStore(sim.t, f.Group)
 	if len(value) > s.maxValue {
-		e.Outcome = NotDone
+		e.Outcome = Rejected
 		return e
 	}
 	if old := s.log[f.Group.Sequence]; old != nil {
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -1,5 +1,10 @@
 package scheduler
 
+import (
+	"math"
+	"slices"
+)
+
 // Record is one log entry about a job or a worker.
 type Record struct {
 	Job JobID `json:"job,omitempty"`
@@ -245,6 +250,30 @@
 	c.emit(WriteGroup{Group: *g, OwnerRevision: c.ownerRevision, Via: c.relay.via})
 }
 
+// handleGroupRejected divides a group that the store rejects for good, because
+// repeating it would block the log: its records are written again in smaller groups. A
+// rejected part of a snapshot ends the snapshot; a new one is begun later.
+func (c *cell) handleGroupRejected() {
+	l := &c.log
+	g := l.inFlight
+	_, size := groupLength(g.Records, math.MaxInt)
+	c.logDecision(Decision{Kind: "log", Outcome: "group_rejected", Fields: []Field{
+		{"sequence", g.Sequence}, {"records", int64(len(g.Records))}, {"bytes", int64(size)}, {"snapshot", int64(g.Snapshot)}}})
+	if len(g.Records) < 2 {
+		c.reducer.stepDown("the store rejects a group of the log that cannot be divided")
+		return
+	}
+	l.inFlight, l.writeFailed = nil, false
+	l.groupBytes = min(l.groupBytes, size) / 2
+	if g.Snapshot > 0 {
+		l.snapshot = nil
+		return
+	}
+	l.pending = append(slices.Clone(g.Records), l.pending...)
+	l.pendingSize += size
+	l.dueAt = c.now
+}
+
 // runCallbacks runs the callbacks whose records are durable.
 func (c *cell) runCallbacks() {
 	l := &c.log
--- a/scheduler/recordsize_test.go
+++ b/scheduler/recordsize_test.go
@@ -133,6 +133,20 @@
 	checkLogContinues(t, sim)
 }
 
+// TestRejectedGroupIsDivided guards against a log that is blocked for good by a group that
+// the store rejects, whatever the reason: here the store accepts less than its settings
+// say, for groups and for the parts of a snapshot.
+func TestRejectedGroupIsDivided(t *testing.T) {
+	sim := newSimulation(t, 1, 3, 8)
+	sim.run(2 * time.Second)
+	sim.store.maxValue = 40_000
+	submitMarked(sim, "aaa", 100)
+	sim.run(3 * time.Second)
+	sim.owner().r.cell.beginSnapshot()
+	sim.run(3 * time.Second)
+	checkLogContinues(t, sim)
+}
+
 // TestJobTooLargeForTheStoreIsRefused guards against a log that is blocked by a job whose
 // record no group can hold.
 func TestJobTooLargeForTheStoreIsRefused(t *testing.T) {
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -258,7 +258,7 @@
 	if l.inFlight == nil || e.Sequence != l.inFlight.Sequence {
 		return
 	}
-	if e.Outcome == Done || e.Outcome == Conflict {
+	if e.Outcome == Done || e.Outcome == Conflict || e.Outcome == Rejected {
 		c.storeAnswered(e.Via)
 	} else {
 		c.storeFailed(e.Via)
@@ -266,6 +266,8 @@
 	switch {
 	case e.Outcome == Done || e.Ours:
 		c.groupDurable(e.Revision)
+	case e.Outcome == Rejected:
+		c.handleGroupRejected()
 	case e.Taken:
 		c.reducer.stepDown("another owner has written to the log")
 	case e.Lost:
