Spread the runs of a large job over several log records

Change: at most 500 starts and ends in a record. A successor applies the records of a job in their order, so the log's format stays the same. Measured: the test passes; all tests of scheduler pass.

--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // job is an accepted job, or one whose acceptance is being written.
 type job struct {
@@ -181,21 +184,29 @@
 	if j.reported.isTerminal() {
 		return []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Final: j.reported, FinalAt: j.endedWall}}
 	}
-	rec := Record{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Spec: j.spec, Policy: policy, Cancelled: j.cancelled}
+	records := []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Spec: j.spec, Policy: policy, Cancelled: j.cancelled}}
+	var starts []StartRecord
+	var ends []EndRecord
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
 			for _, run := range syntheticFailedRuns(s.gangFailures, s.failedRun) {
-				rec.Ends = append(rec.Ends, EndRecord{Occurrence: o.index, Step: s.index, Run: run, Kind: EndFailed})
+				ends = append(ends, EndRecord{Occurrence: o.index, Step: s.index, Run: run, Kind: EndFailed})
 			}
 			for _, t := range s.tasks {
-				rec.Ends = append(rec.Ends, t.endRecords()...)
+				ends = append(ends, t.endRecords()...)
 				if t.run != nil {
-					rec.Starts = append(rec.Starts, StartRecord{o.index, s.index, t.index, t.run.number, t.run.worker.info.ID})
+					starts = append(starts, StartRecord{o.index, s.index, t.index, t.run.number, t.run.worker.info.ID})
 				}
 			}
 		}
 	}
-	return []Record{rec}
+	for chunk := range slices.Chunk(starts, maxRunsPerRecord) {
+		records = append(records, Record{Job: j.id, Starts: chunk})
+	}
+	for chunk := range slices.Chunk(ends, maxRunsPerRecord) {
+		records = append(records, Record{Job: j.id, Ends: chunk})
+	}
+	return records
 }
 
 // syntheticFailedRuns returns n increasing run numbers that end with last. They stand
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -73,6 +73,9 @@
 	// defaultMaxStoreValue is the store's limit for the size of a value, unless the
 	// deployment sets one.
 	defaultMaxStoreValue = 1 << 20
+	// maxRunsPerRecord bounds the starts and ends in a record, because a record cannot
+	// be split between groups.
+	maxRunsPerRecord = 500
 	// snapshotGroups is the number of groups after which a snapshot is written to
 	// truncate the log. A takeover reads the log in pages of 500 groups.
 	snapshotGroups = 400
@@ -167,7 +170,7 @@
 		return false
 	}
 	last := &l.pending[i]
-	if last.Job != rec.Job || !last.endsOnly() {
+	if last.Job != rec.Job || !last.endsOnly() || len(last.Ends)+len(rec.Ends) > maxRunsPerRecord {
 		return false
 	}
 	last.Ends = append(last.Ends, rec.Ends...)
--- a/scheduler/recordsize_test.go
+++ b/scheduler/recordsize_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -167,3 +168,37 @@
 	}
 	checkLogContinues(t, sim)
 }
+
+// TestRecordsOfLargeJobFitTheStore guards against a log that is blocked for good by a
+// record of many runs, which no group can hold: a job of 20,000 tasks, each of which has
+// failed twice and runs again.
+func TestRecordsOfLargeJobFitTheStore(t *testing.T) {
+	const tasks, maxValueBytes = 20000, 1 << 20
+	sim := newSimulation(t, 1, 1, 1)
+	sim.run(2 * time.Second)
+	c := sim.owner().r.cell
+	w := c.workers["w00"]
+	spec := &JobSpec{Steps: []Step{{Count: tasks}}}
+	j := c.addJob("00000000000000aa", "batch", spec, sim.wall())
+	j.durable = true
+	c.log.pending = nil
+	for _, task := range j.occurrences[0].stages[0].tasks {
+		task.failures, task.failedRun = 2, 2
+		c.planStart(task, w, 3, "")
+	}
+	c.recordStarts(j)
+	info := w.info
+	snapshot := append([]Record{{Worker: &info}}, j.records(nil)...)
+	for _, rec := range slices.Concat(c.log.pending, snapshot) {
+		if size := len(encodeForStore(t, rec)); size > maxValueBytes {
+			t.Fatalf("a record has %d bytes, want at most %d", size, maxValueBytes)
+		}
+	}
+	restored := newCell(c.reducer)
+	restored.applyRecords(snapshot)
+	for _, task := range restored.jobs[j.id].occurrences[0].stages[0].tasks {
+		if task.failures != 2 || task.run == nil || task.run.number != 3 {
+			t.Fatalf("restored task %+v, want two failures and the run 3", task)
+		}
+	}
+}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"strings"
 	"time"
 )
@@ -50,7 +51,9 @@
 	if len(c.pendingStarts) == 0 {
 		return
 	}
-	c.record(Record{Job: j.id, Starts: c.pendingStarts}, true)
+	for starts := range slices.Chunk(c.pendingStarts, maxRunsPerRecord) {
+		c.record(Record{Job: j.id, Starts: starts}, true)
+	}
 	orders := c.pendingOrders
 	c.pendingStarts, c.pendingOrders = nil, nil
 	c.whenDurable(func() {
