Name at most 100 workers in each call for advice

Seen: TestCallsForAdviceNameNoMoreWorkersThanAllowed fails on the code before: a stage with 200 waiting tasks and 200 allowed workers whose tickets have expired asks about all of them in one call, and the advice service accepts 100. Cause: only unknown workers were limited to the rest of a call. Change: known workers are limited too. Measured: the test passes; all tests of scheduler pass.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -171,7 +171,7 @@
 	var workers []*worker
 	places := 0
 	for _, w := range c.allowedWorkers(s) {
-		if places >= s.waiting {
+		if places >= s.waiting || len(workers) == maxAdviceWorkers {
 			return workers
 		}
 		n := c.placesOn(s, w)
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -40,3 +40,22 @@
 		t.Errorf("%d calls in 5 s through a host whose calls all fail, want at most %d", calls, maxCalls)
 	}
 }
+
+// TestCallsForAdviceNameNoMoreWorkersThanAllowed guards against a stage that never starts
+// because the advice service rejects its calls: many waiting tasks and as many allowed
+// workers whose tickets have expired.
+func TestCallsForAdviceNameNoMoreWorkersThanAllowed(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 2*maxAdviceWorkers)
+	sim.run(2 * time.Second)
+	c := sim.owner().r.cell
+	j := c.addJob("00000000000000aa", "batch", &JobSpec{Steps: []Step{{Count: 2 * maxAdviceWorkers, Need: Resources{MilliCPU: 1000}, MaxPerWorker: 1}}}, sim.wall())
+	s := j.occurrences[0].stages[0]
+	s.advice.results = map[*worker]adviceResult{}
+	for _, w := range c.workersByID {
+		s.advice.allowed = append(s.advice.allowed, w)
+		s.advice.results[w] = adviceResult{born: w.info.Born, allowed: true}
+	}
+	if n := len(c.adviceCandidates(s)); n != maxAdviceWorkers {
+		t.Errorf("a call names %d workers, want %d", n, maxAdviceWorkers)
+	}
+}
