Compare a stage with all workers after the headroom held it back

Seen: TestHeadroomIsUsedWhenSlackRunsOut fails on the code before: a task has not started after 20 s although half of a worker suffices and 7 of 8 cores are free. Cause: a stage that found no room in a pass is compared only with workers that have changed since. This also applied to stages that only the headroom kept from starting, which may use it once their slack has run out. Change: such a stage is not compared with workers at all, and with all of them in later passes.

--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -111,3 +112,31 @@
 		}
 	}
 }
+
+// TestHeadroomIsUsedWhenSlackRunsOut guards against tasks that never start although there
+// is room: a stage that the headroom kept from starting looked only at workers that had
+// changed since, also once its slack had run out and it might use the headroom. In a cell
+// whose other tasks are long-running, no worker changes.
+func TestHeadroomIsUsedWhenSlackRunsOut(t *testing.T) {
+	sim := newSimulation(t, 1, 1, 4)
+	sim.config.Queues["batch"].Advice = nil
+	sim.run(2 * time.Second)
+	// Three workers are full, and little more than the headroom is free on the fourth one.
+	for i, cpu := range []int64{fakeMilliCPU, fakeMilliCPU, fakeMilliCPU, fakeMilliCPU / 8} {
+		sim.submitMany(fmt.Sprintf("aa%d", i), 1, "batch", Step{Count: 1, Need: Resources{MilliCPU: cpu}, Estimate: time.Hour})
+		sim.run(time.Second)
+	}
+	started := false
+	sim.onDecision = func(d Decision) {
+		started = started || d.Kind == "start" && d.Outcome == "ordered" && strings.HasPrefix(string(d.Job), "bbb")
+	}
+	sim.submitMany("bbb", 1, "batch", Step{Count: 1, Need: Resources{MilliCPU: fakeMilliCPU / 2}, Estimate: 3 * time.Second})
+	sim.run(2 * time.Second)
+	if started {
+		t.Fatal("the task used the headroom although it has slack")
+	}
+	sim.run(20 * time.Second)
+	if !started {
+		t.Error("the task has not started 20 s later, with half of a worker free")
+	}
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -91,9 +91,13 @@
 	case s.step.Gang:
 		c.placeGang(s)
 	default:
-		c.placeTasks(s)
 		s.lastFailedPass = 0
-		if s.waiting > 0 {
+		if c.withinHeadroom(s) == 0 {
+			// Later passes compare the stage with all workers: it may use the headroom
+			// without a change at a worker once its slack has run out.
+			break
+		}
+		if c.placeTasks(s); s.waiting > 0 && c.withinHeadroom(s) > 0 {
 			s.lastFailedPass = c.passes
 		}
 	}
