Compute the length of characters without package utf8

Change: characters above ASCII are measured by their conversion to a string. Measured: TestReducersArePure and 3,000 draws of TestEstimatedSizeCoversEncoding pass.

--- a/scheduler/recordsize.go
+++ b/scheduler/recordsize.go
@@ -1,7 +1,5 @@
 package scheduler
 
-import "unicode/utf8"
-
 // The sizes in this file are upper bounds of the length, in bytes, of what the log holds.
 // They follow the names and the encoding of the fields, and count the escape sequences
 // of strings, because callers choose the strings, and a group that exceeds the store's
@@ -18,6 +16,10 @@
 	groupOverheadBytes = 256
 	// escapeBytes is the length of an escape sequence.
 	escapeBytes = 6
+	// maxASCII is the last character that takes one byte.
+	maxASCII = 0x7f
+	// replacementCharacter stands for invalid bytes.
+	replacementCharacter = '\ufffd'
 )
 
 // estimatedSize returns an upper bound of the record's encoded size.
@@ -162,10 +164,12 @@
 		switch {
 		case r == '"' || r == '\\':
 			n += 2
-		case r < ' ' || r == '\u2028' || r == '\u2029' || r == utf8.RuneError:
+		case r < ' ' || r == '\u2028' || r == '\u2029' || r == replacementCharacter:
 			n += escapeBytes
+		case r <= maxASCII:
+			n++
 		default:
-			n += utf8.RuneLen(r)
+			n += len(string(r))
 		}
 	}
 	return n
