Accept messages between hosts with escaped payloads

Seen: TestLargestPeerMessagesAreAccepted fails on the code before: a full batch of orders takes 4.9 MB and a group of the log that is written through another host up to 6.3 MB, if each byte of their payloads needs an escape sequence. Cause: the limit of 4 MiB was derived from the length of the payloads before encoding. The receiving host rejects the message; orders are then in doubt, and a group cannot be written through another host. Change: the limit is 8 MiB. Measured: the test passes.

--- a/host/agent.go
+++ b/host/agent.go
@@ -16,7 +16,8 @@
 	// sent together.
 	batchDelay = 25 * time.Millisecond
 	// maxBatchSize bounds the messages of a batch. With payloads of up to 4,000
-	// bytes each, a full batch stays far below maxPeerBytes.
+	// bytes each, which take 24,000 with escape sequences, a full batch stays below
+	// maxPeerBytes.
 	maxBatchSize = 200
 	// agentTimeoutMargin is added to the timeout of a call to a worker for the
 	// round trip between this host and the worker's agent.
--- a/host/peer.go
+++ b/host/peer.go
@@ -22,8 +22,10 @@
 	pathStore   = "/peer/v1/store"
 	pathOrders  = "/peer/v1/orders"
 	pathResults = "/peer/v1/results"
-	// maxPeerBytes bounds a message between hosts.
-	maxPeerBytes = 4 << 20
+	// maxPeerBytes bounds a message between hosts. The largest ones are a group of the
+	// log of up to 1 MiB and a batch of orders with payloads, both with up to six bytes
+	// for each byte of a payload.
+	maxPeerBytes = 8 << 20
 )
 
 // requestKind is the kind of a caller's request.
