Play owners that are cut off from everything in the simulation

Cause: the simulation cut hosts off from the store only, so that a returning owner always learned from a worker or another host that it had been replaced. Change: a scenario in which owners are cut off from the store, the other hosts and the workers, and stopped as planned.

--- a/scheduler/invariants_test.go
+++ b/scheduler/invariants_test.go
@@ -215,6 +215,31 @@
 	}
 }
 
+// TestOwnersIsolated guards against jobs that are lost or run twice when an owner that was
+// cut off from the store, the other hosts and the workers returns, while owners are also
+// stopped as planned.
+func TestOwnersIsolated(t *testing.T) {
+	runScenario(t, func(sim *simulation) {
+		sim.faults.lostWriteRate = 0.05
+		until := map[int]Time{}
+		sim.faults.hostIsolated = func(host int, at Time) bool { return at < until[host] }
+		for i := range 8 {
+			sim.at(time.Duration(2000+2000*i+sim.rng.IntN(2000))*msec, func() {
+				h := sim.owner()
+				if h == nil {
+					return
+				}
+				if sim.rng.IntN(3) > 0 {
+					until[h.index] = sim.now.Add(time.Duration(500+sim.rng.IntN(5000)) * msec)
+					return
+				}
+				sim.post(h, h.incarnation, StopRequested{})
+				sim.at(3*time.Second, func() { sim.killHost(h); sim.startHost(h) })
+			})
+		}
+	})
+}
+
 // TestWorkersRestart guards against tasks that are lost with a crashed worker, and
 // against ends of an earlier incarnation that are applied to the new one.
 func TestWorkersRestart(t *testing.T) {
