Start the soak's processes without the race detector's exit delay

Cause, as far as shown: a process that is built with the race detector sleeps for a second at its exit (1.012 s against 0.010 s for an empty program). With the 5 s that a stop takes by its own bounds this reaches the 6 s. Change: the option that removes the sleep is set for the processes that the soak starts. The check and its bound stay.

--- a/integration/hostsoak/host.go
+++ b/integration/hostsoak/host.go
@@ -69,7 +69,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 		return nil, err
 	}
-	h.env = append(os.Environ(), "BANYANRUN_NODE_FILE="+file)
+	h.env = append(os.Environ(), "BANYANRUN_NODE_FILE="+file, raceOptions)
 	if err := h.start(); err != nil {
 		return nil, err
 	}
@@ -82,6 +82,10 @@
 	return h, nil
 }
 
+// raceOptions keeps processes that are built with the race detector from sleeping for a
+// second at their exit, which would count against stopGracePeriod.
+const raceOptions = "GORACE=atexit_sleep_ms=0"
+
 // earlyExitWindow is how long newHost watches a new process for an early exit.
 const earlyExitWindow = 300 * time.Millisecond
 
