--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -248,8 +248,8 @@
 }
 
 // handleClaimFailed aborts a takeover. A host that was the owner gives up its state if
-// the log has changed and no owner record explains that, because no claim with this
-// state can succeed.
+// the log has changed although there is no owner record: another host has been the owner
+// in between, and no claim with the old state can succeed.
 func (r *Reducer) handleClaimFailed(e ClaimAnswered) {
 	r.abortClaim("the store rejected the claim or did not confirm it", Field{"log_changed", boolField(e.LogChanged)},
 		Field{"owner_exists", boolField(e.OwnerExists)})
