--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -90,14 +90,14 @@
 	switch {
 	case s.step.Gang:
 		c.placeGang(s)
+	case c.withinHeadroom(s) == 0:
+		// The stage may use the headroom once its slack has run out, without a change at
+		// any worker. Later passes therefore compare it with all of them.
+		s.lastFailedPass = 0
 	default:
+		c.placeTasks(s)
 		s.lastFailedPass = 0
-		if c.withinHeadroom(s) == 0 {
-			// Later passes compare the stage with all workers: it may use the headroom
-			// without a change at a worker once its slack has run out.
-			break
-		}
-		if c.placeTasks(s); s.waiting > 0 && c.withinHeadroom(s) > 0 {
+		if s.waiting > 0 && c.withinHeadroom(s) > 0 {
 			s.lastFailedPass = c.passes
 		}
 	}
