--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -43,7 +43,8 @@
 	// openStages is the number of stages that are not complete.
 	openStages int
 	// opened means that the occurrence is due and its stages may be queued.
-	opened   bool
+	opened bool
+	// critical holds the critical paths as of the last Step that enqueued a stage.
 	critical criticalPaths
 }
 
--- a/scheduler/recordsize_test.go
+++ b/scheduler/recordsize_test.go
@@ -82,9 +82,9 @@
 	return rec
 }
 
-// submitMarked submits jobs of one step whose payload has the greatest length and needs
+// submitEscaped submits jobs of one step whose payload has the greatest length and needs
 // an escape sequence for each character.
-func submitMarked(sim *simulation, prefix string, n int) {
+func submitEscaped(sim *simulation, prefix string, n int) {
 	for i := range n {
 		id := JobID(fmt.Sprintf("%s%013x", prefix, i))
 		sim.submit(id, "urgent", JobSpec{Payload: strings.Repeat("\x01", 4000), Steps: []Step{{Count: 1, Need: Resources{MilliCPU: 100}, Estimate: 100 * msec}}}, 5)
@@ -129,7 +129,7 @@
 	sim.run(2 * time.Second)
 	down := sim.now.Add(time.Second)
 	sim.faults.storeDown = func(at Time) bool { return at < down }
-	submitMarked(sim, "aaa", 200)
+	submitEscaped(sim, "aaa", 200)
 	sim.run(5 * time.Second)
 	checkLogContinues(t, sim)
 }
@@ -141,7 +141,7 @@
 	sim := newSimulation(t, 1, 3, 8)
 	sim.run(2 * time.Second)
 	sim.store.maxValue = 40_000
-	submitMarked(sim, "aaa", 100)
+	submitEscaped(sim, "aaa", 100)
 	sim.run(3 * time.Second)
 	sim.owner().r.cell.beginSnapshot()
 	sim.run(3 * time.Second)
