--- a/review/standin-2/cases_kill.go
+++ b/review/standin-2/cases_kill.go
@@ -19,6 +19,9 @@
 	// workerDelay is how long a worker takes to answer a call: about the round trip
 	// to another region.
 	workerDelay = 40 * time.Millisecond
+	// hostDelay is how long an event of the store takes to reach a host, half of the
+	// time between regions.
+	hostDelay = 10 * time.Millisecond
 	// observationTime is how long the workers are observed after the kills.
 	observationTime = 30 * time.Second
 )
@@ -28,7 +31,7 @@
 // whether the ends that the workers list are taken note of.
 func ownerKilledTwice(p *platform, trouble bool) ([]string, error) {
 	const workers, tasks = 120, 60
-	p.workerDelay = workerDelay
+	p.workerDelay, p.store.watchDelay = workerDelay, hostDelay
 	if err := p.startAll(3, sameKinds(workers, 8000)); err != nil {
 		return nil, err
 	}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -42,6 +42,9 @@
 	leases   map[int64]*lease
 	// changed is closed and replaced at each change.
 	changed chan struct{}
+	// watchDelay is added to the response of a watch that has events, as on the way to a
+	// host in another region.
+	watchDelay time.Duration
 }
 
 func newStore() *store {
@@ -168,6 +171,7 @@
 		}
 		s.mu.Unlock()
 		if len(events) > 0 {
+			time.Sleep(s.watchDelay)
 			respond(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
 			return
 		}
