--- a/review/standin-2/cases_lasting.go
+++ b/review/standin-2/cases_lasting.go
@@ -106,7 +106,6 @@
 	failingJob = "aaaaaaaaaaaaaaa1"
 	soundJob   = "bbbbbbbbbbbbbbb1"
 	fillingJob = "ccccccccccccccc1"
-	gangJob    = "ddddddddddddddd1"
 )
 
 // lastingFailures runs a job of lasting tasks that fail soon after each start, beside a
@@ -207,30 +206,3 @@
 	}
 	return p.waitForStarts(fillingJob, n, 10*time.Second)
 }
-
-// lastingBehindGang hands in a lasting job of one task behind a gang that does not fit
-// beside the running jobs. Without trouble there is no gang. It has no folder of its own.
-func lastingBehindGang(p *platform, trouble bool) ([]string, error) {
-	if err := p.startAll(3, sameKinds(5, 8000)); err != nil {
-		return nil, err
-	}
-	time.Sleep(calmTime)
-	if err := p.fill(24); err != nil {
-		return nil, err
-	}
-	time.Sleep(calmTime)
-	if trouble {
-		gang := step{Count: 24, CPU: 1000, MemoryMB: 256, EstimateMS: 30000, Gang: true}
-		if err := p.submit(batchQueue, gangJob, gang, behaviour{MilliCPU: 1000, WorkMS: 30000}); err != nil {
-			return nil, err
-		}
-		time.Sleep(time.Second)
-	}
-	last := step{Count: 1, CPU: 1000, MemoryMB: 256, EstimateMS: 60000, LongRunning: true}
-	if err := p.submit(batchQueue, soundJob, last, behaviour{MilliCPU: 1000}); err != nil {
-		return nil, err
-	}
-	accepted := time.Now()
-	tasks := []*watchedTask{{name: soundJob + ".0.0.0", need: 1000, idleSince: accepted}}
-	return p.watch(tasks, accepted.Add(25*time.Second)), nil
-}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -31,13 +31,13 @@
 // cases holds the cases by the name that the scripts give, and two further findings
 // that have no folder of their own.
 var cases = map[string]reviewCase{
-	"owner-killed-twice":  ownerKilledTwice,
-	"repeated-jobs":       repeatedJobs,
-	"lasting-failures":    lastingFailures,
-	"lasting-headroom":    lastingHeadroom,
-	"pending-refused":     pendingRefused,
-	"lasting-behind-gang": lastingBehindGang,
-	"worker-other-kind":   workerOtherKind,
+	"owner-killed-twice": ownerKilledTwice,
+	"repeated-jobs":      repeatedJobs,
+	"lasting-failures":   lastingFailures,
+	"lasting-headroom":   lastingHeadroom,
+	"pending-refused":    pendingRefused,
+	"jobs-behind-gang":   jobsBehindGang,
+	"worker-other-kind":  workerOtherKind,
 }
 
 func main() {
