--- a/host/agent.go
+++ b/host/agent.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -28,15 +30,15 @@
 // agent, another host in the worker's data centre. Exactly one field besides ID
 // is set.
 type workerOrder struct {
-	ID    uint64               `json:"id"`
+	ID    scheduler.CallID     `json:"id"`
 	Hold  *scheduler.Hold      `json:"hold,omitempty"`
 	Start *scheduler.StartTask `json:"start,omitempty"`
 	Stop  *scheduler.StopTask  `json:"stop,omitempty"`
 	Pace  *scheduler.PaceTask  `json:"pace,omitempty"`
 }
 
-// effect returns the effect that the order carries, or nil if it carries none.
-func (o *workerOrder) effect() scheduler.Effect {
+// operation returns the operation that the order carries, or nil if it carries none.
+func (o *workerOrder) operation() scheduler.Operation {
 	switch {
 	case o.Hold != nil:
 		return *o.Hold
@@ -52,15 +54,15 @@
 
 // workerResult is the result of the workerOrder with the same ID.
 type workerResult struct {
-	ID    uint64                   `json:"id"`
+	ID    scheduler.CallID         `json:"id"`
 	Hold  *scheduler.HoldAnswered  `json:"hold,omitempty"`
 	Start *scheduler.StartAnswered `json:"start,omitempty"`
 	Stop  *scheduler.StopAnswered  `json:"stop,omitempty"`
 	Pace  *scheduler.PaceAnswered  `json:"pace,omitempty"`
 }
 
-// event returns the event that the result carries, or nil if it carries none.
-func (r *workerResult) event() scheduler.Event {
+// result returns the result of the operation, or nil if there is none.
+func (r *workerResult) result() scheduler.Result {
 	switch {
 	case r.Hold != nil:
 		return *r.Hold
@@ -79,72 +81,82 @@
 	order workerOrder
 	// agent is the address of the agent, empty if this host makes the call itself.
 	agent string
-	// inDoubt is the event to report if no result arrives in time: the call may
-	// have reached the worker.
-	inDoubt scheduler.Event
 	// timeout bounds the call that the agent makes.
 	timeout time.Duration
 }
 
-// newDelegatedCall returns the delegated call for an effect that concerns a worker.
-func newDelegatedCall(e scheduler.Effect) delegatedCall {
-	call := delegatedCall{timeout: orderTimeout}
-	switch o := e.(type) {
+// newDelegatedCall returns the delegated call for a call to a worker.
+func newDelegatedCall(c scheduler.Call) delegatedCall {
+	call := delegatedCall{order: workerOrder{ID: c.ID}, timeout: orderTimeout}
+	switch o := c.Operation.(type) {
 	case scheduler.Hold:
 		call.order.Hold, call.agent, call.timeout = &o, o.Via, o.Wait+orderTimeout
-		call.inDoubt = scheduler.HoldAnswered{Worker: o.Worker, Call: o.Call, Failed: true}
 	case scheduler.StartTask:
 		call.order.Start, call.agent = &o, o.Via
-		call.inDoubt = scheduler.StartAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Result: scheduler.OrderInDoubt}
 	case scheduler.StopTask:
 		call.order.Stop, call.agent = &o, o.Via
-		call.inDoubt = scheduler.StopAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Result: scheduler.OrderInDoubt}
 	case scheduler.PaceTask:
 		call.order.Pace, call.agent = &o, o.Via
-		call.inDoubt = scheduler.PaceAnswered{Worker: o.Worker, Task: o.Task, Run: o.Run, Percent: o.Percent, Result: scheduler.OrderInDoubt}
 	}
 	return call
 }
 
 type orderBatch struct {
 	// ReplyTo is the address of the host that receives the results.
-	ReplyTo string        `json:"reply_to"`
+	ReplyTo string `json:"reply_to"`
+	// Process is the process that sends the orders and is the only one for which the
+	// results have a meaning. A later process at the same address numbers its calls
+	// anew.
+	Process processID     `json:"process"`
 	Orders  []workerOrder `json:"orders"`
 }
 
 type resultBatch struct {
+	// Process is the process that sent the orders.
+	Process processID      `json:"process"`
 	Results []workerResult `json:"results"`
 }
 
-// batcher collects messages for each host and sends them in batches.
-type batcher[M any] struct {
+// processID identifies a process among all that have the same address over time.
+type processID string
+
+func newProcessID() processID { return processID(strconv.FormatUint(rand.Uint64(), 36)) }
+
+// requester is the process that receives the results of its orders.
+type requester struct {
+	address string
+	process processID
+}
+
+// batcher collects messages for each recipient and sends them in batches.
+type batcher[R comparable, M any] struct {
 	mu     sync.Mutex
-	queued map[string][]M
-	send   func(ctx context.Context, address string, batch []M)
+	queued map[R][]M
+	send   func(ctx context.Context, to R, batch []M)
 }
 
-func newBatcher[M any](send func(context.Context, string, []M)) *batcher[M] {
-	return &batcher[M]{queued: map[string][]M{}, send: send}
+func newBatcher[R comparable, M any](send func(context.Context, R, []M)) *batcher[R, M] {
+	return &batcher[R, M]{queued: map[R][]M{}, send: send}
 }
 
-// add queues a message for a host. The call that queues the first message of a
+// add queues a message for a recipient. The call that queues the first message of a
 // batch blocks for batchDelay and then sends the batch; the others return at once.
-func (b *batcher[M]) add(ctx context.Context, address string, m M) {
+func (b *batcher[R, M]) add(ctx context.Context, to R, m M) {
 	b.mu.Lock()
-	first := len(b.queued[address]) == 0
-	b.queued[address] = append(b.queued[address], m)
+	first := len(b.queued[to]) == 0
+	b.queued[to] = append(b.queued[to], m)
 	b.mu.Unlock()
 	if !first {
 		return
 	}
 	sleep(ctx, batchDelay)
 	b.mu.Lock()
-	all := b.queued[address]
-	delete(b.queued, address)
+	all := b.queued[to]
+	delete(b.queued, to)
 	b.mu.Unlock()
 	for len(all) > 0 {
 		n := min(len(all), maxBatchSize)
-		b.send(ctx, address, all[:n])
+		b.send(ctx, to, all[:n])
 		all = all[n:]
 	}
 }
@@ -152,63 +164,89 @@
 // agentCalls holds the calls that wait for a result from an agent, and the batches
 // of orders and results to other hosts.
 type agentCalls struct {
+	process processID
 	mu      sync.Mutex
-	lastID  uint64
-	pending map[uint64]chan scheduler.Event
-	orders  *batcher[workerOrder]
-	results *batcher[workerResult]
+	pending map[scheduler.CallID]chan scheduler.Result
+	orders  *batcher[string, workerOrder]
+	results *batcher[requester, workerResult]
 }
 
 func (d *Daemon) newAgentCalls() *agentCalls {
 	return &agentCalls{
-		pending: map[uint64]chan scheduler.Event{},
+		process: newProcessID(),
+		pending: map[scheduler.CallID]chan scheduler.Result{},
 		orders:  newBatcher(d.sendOrders),
 		results: newBatcher(d.sendResults),
 	}
 }
 
-// callViaAgent makes a call to a worker through its agent. It returns the result,
-// or the call's inDoubt event if none arrives in time.
-func (d *Daemon) callViaAgent(ctx context.Context, call delegatedCall) scheduler.Event {
-	a, o := d.agentCalls, call.order
-	ch := make(chan scheduler.Event, 1)
+// expect returns the channel that receives the result of a call.
+func (a *agentCalls) expect(id scheduler.CallID) <-chan scheduler.Result {
+	ch := make(chan scheduler.Result, 1)
 	a.mu.Lock()
-	a.lastID++
-	o.ID = a.lastID
-	a.pending[o.ID] = ch
-	a.mu.Unlock()
-	defer func() {
-		a.mu.Lock()
-		delete(a.pending, o.ID)
-		a.mu.Unlock()
-	}()
-	a.orders.add(ctx, call.agent, o)
+	defer a.mu.Unlock()
+	a.pending[id] = ch
+	return ch
+}
+
+// forget ends the wait for the result of a call.
+func (a *agentCalls) forget(id scheduler.CallID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.pending, id)
+}
+
+// deliver passes the results of a batch to the calls that wait for them. It ignores
+// results for another process and returns false for them.
+func (a *agentCalls) deliver(b *resultBatch) bool {
+	if b.Process != a.process {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i := range b.Results {
+		r := &b.Results[i]
+		if ch, res := a.pending[r.ID], r.result(); ch != nil && res != nil {
+			delete(a.pending, r.ID)
+			ch <- res
+		}
+	}
+	return true
+}
+
+// callViaAgent makes a call to a worker through its agent. If no result arrives in time,
+// the call counts as unanswered.
+func (d *Daemon) callViaAgent(ctx context.Context, call delegatedCall) scheduler.Result {
 	timer := time.NewTimer(call.timeout + agentTimeoutMargin)
 	defer timer.Stop()
+	result := d.agentCalls.expect(call.order.ID)
+	defer d.agentCalls.forget(call.order.ID)
+	d.agentCalls.orders.add(ctx, call.agent, call.order)
 	select {
-	case e := <-ch:
-		return e
+	case res := <-result:
+		return res
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return call.inDoubt
+	return call.order.operation().Unanswered()
 }
 
 // sendOrders sends a batch of orders to an agent. If that fails, the orders may
-// still be executed; each of them is reported as in doubt when it times out.
+// still be executed; each of them is unanswered when it times out.
 func (d *Daemon) sendOrders(ctx context.Context, address string, batch []workerOrder) {
 	var out struct{}
-	if failure := d.callPeer(ctx, address, pathOrders, orderBatch{d.settings.PeerAddress, batch}, &out, orderTimeout); failure != nil {
+	message := orderBatch{d.settings.PeerAddress, d.agentCalls.process, batch}
+	if failure := d.callPeer(ctx, address, pathOrders, message, &out, orderTimeout); failure != nil {
 		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "orders_failed").Str("agent", address).Int("orders", len(batch)).Send()
 	}
 }
 
-// sendResults sends a batch of results to the owner. Results that are lost leave
-// their calls to time out there.
-func (d *Daemon) sendResults(ctx context.Context, address string, batch []workerResult) {
+// sendResults sends a batch of results to the process that sent the orders. Results
+// that are lost leave their calls to time out there.
+func (d *Daemon) sendResults(ctx context.Context, to requester, batch []workerResult) {
 	var out struct{}
-	if failure := d.callPeer(ctx, address, pathResults, resultBatch{batch}, &out, orderTimeout); failure != nil {
-		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "results_failed").Str("owner", address).Int("results", len(batch)).Send()
+	if failure := d.callPeer(ctx, to.address, pathResults, resultBatch{to.process, batch}, &out, orderTimeout); failure != nil {
+		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "results_failed").Str("owner", to.address).Int("results", len(batch)).Send()
 	}
 }
 
@@ -221,7 +259,7 @@
 			return
 		}
 		for _, o := range b.Orders {
-			d.peerOrders.Go(func() { d.executeOrder(b.ReplyTo, o) })
+			d.peerOrders.Go(func() { d.executeOrder(requester{b.ReplyTo, b.Process}, o) })
 		}
 		d.writePeerResponse(w, struct{}{})
 	})
@@ -230,31 +268,25 @@
 		if !d.readPeerMessage(w, r, &b) {
 			return
 		}
-		for _, result := range b.Results {
-			d.agentCalls.mu.Lock()
-			ch := d.agentCalls.pending[result.ID]
-			delete(d.agentCalls.pending, result.ID)
-			d.agentCalls.mu.Unlock()
-			if e := result.event(); ch != nil && e != nil {
-				ch <- e
-			}
+		if !d.agentCalls.deliver(&b) {
+			d.log.Info().Str("event", "agent").Str("outcome", "results_for_another_process").Int("results", len(b.Results)).Send()
 		}
 		d.writePeerResponse(w, struct{}{})
 	})
 }
 
 // executeOrder makes a call to a worker for another host and sends it the result.
-func (d *Daemon) executeOrder(replyTo string, o workerOrder) {
+func (d *Daemon) executeOrder(from requester, o workerOrder) {
 	result := workerResult{ID: o.ID}
-	switch e := d.callWorkerDirect(d.runCtx, o.effect()).(type) {
+	switch res := d.callWorkerDirect(d.runCtx, o.operation()).(type) {
 	case scheduler.HoldAnswered:
-		result.Hold = &e
+		result.Hold = &res
 	case scheduler.StartAnswered:
-		result.Start = &e
+		result.Start = &res
 	case scheduler.StopAnswered:
-		result.Stop = &e
+		result.Stop = &res
 	case scheduler.PaceAnswered:
-		result.Pace = &e
+		result.Pace = &res
 	}
-	d.agentCalls.results.add(d.runCtx, replyTo, result)
+	d.agentCalls.results.add(d.runCtx, from, result)
 }
--- a/host/execute.go
+++ b/host/execute.go
@@ -51,14 +51,10 @@
 		d.post(ctx, d.forward(ctx, e))
 	case scheduler.Hello:
 		d.hello(ctx, e)
-	case scheduler.AskAdvice:
-		d.post(ctx, d.askAdvice(ctx, e))
-	case scheduler.ReadLog:
-		d.post(ctx, d.readLog(ctx))
-	case scheduler.ClaimOwnership:
-		d.post(ctx, d.claimOwnership(ctx, e))
-	case scheduler.RenewLease:
-		d.post(ctx, d.renewLease(ctx, e))
+	case scheduler.Call:
+		if result := d.call(ctx, e); result != nil {
+			d.post(ctx, scheduler.CallAnswered{ID: e.ID, Result: result})
+		}
 	case scheduler.EndLease:
 		d.endLease(ctx, e)
 	case scheduler.ReadOwner:
@@ -68,31 +64,37 @@
 			return
 		}
 		d.post(ctx, seen)
-	case scheduler.WriteGroup:
-		d.post(ctx, d.writeGroup(ctx, e))
-	case scheduler.DeleteGroups:
-		d.post(ctx, d.deleteGroups(ctx, e))
 	default:
-		d.callWorker(ctx, e)
+		d.log.Error().Str("event", "effect").Str("outcome", "unknown").Type("type", e).Send()
 	}
 }
 
-// callWorker makes the call for an effect that concerns a worker, directly or
-// through the worker's agent, and posts the result.
-func (d *Daemon) callWorker(ctx context.Context, e scheduler.Effect) {
-	if call := newDelegatedCall(e); call.agent != "" {
-		d.post(ctx, d.callViaAgent(ctx, call))
-		return
+// call makes a call and returns its result, or nil if the operation is of an unknown type.
+func (d *Daemon) call(ctx context.Context, call scheduler.Call) scheduler.Result {
+	switch op := call.Operation.(type) {
+	case scheduler.AskAdvice:
+		return d.askAdvice(ctx, op)
+	case scheduler.ReadLog:
+		return d.readLog(ctx)
+	case scheduler.ClaimOwnership:
+		return d.claimOwnership(ctx, op)
+	case scheduler.RenewLease:
+		return d.renewLease(ctx, op)
+	case scheduler.WriteGroup:
+		return d.writeGroup(ctx, op)
+	case scheduler.DeleteGroups:
+		return d.deleteGroups(ctx, op)
 	}
-	if answer := d.callWorkerDirect(ctx, e); answer != nil {
-		d.post(ctx, answer)
+	if delegated := newDelegatedCall(call); delegated.agent != "" {
+		return d.callViaAgent(ctx, delegated)
 	}
+	return d.callWorkerDirect(ctx, call.Operation)
 }
 
 // callWorkerDirect makes a call to a worker from this host and returns its result,
 // or nil if the effect is of an unknown type.
-func (d *Daemon) callWorkerDirect(ctx context.Context, e scheduler.Effect) scheduler.Event {
-	var answer scheduler.Event
+func (d *Daemon) callWorkerDirect(ctx context.Context, e scheduler.Effect) scheduler.Result {
+	var answer scheduler.Result
 	var err error
 	began, to := time.Now(), "worker"
 	switch e := e.(type) {
--- a/host/peer.go
+++ b/host/peer.go
@@ -234,7 +234,7 @@
 		return d.askAdviceDirect(ctx, a)
 	}
 	var out adviceResponse
-	e := scheduler.AdviceAnswered{Call: a.Call}
+	var e scheduler.AdviceAnswered
 	if failure := d.callPeer(ctx, a.Host, pathAdvice, adviceRequest{a.Step, a.Workers, a.Timeout}, &out, a.Timeout); failure != nil {
 		d.log.Info().Err(failure).Str("event", "advice").Str("outcome", "host_failed").Str("through", a.Host).Send()
 		e.Failed = true
--- a/host/peer_test.go
+++ b/host/peer_test.go
@@ -24,7 +24,7 @@
 	}
 	group := scheduler.Group{Records: []scheduler.Record{{Spec: &scheduler.JobSpec{Payload: strings.Repeat("<", maxGroupBytes)}}}}
 	for name, message := range map[string]any{
-		"a batch of orders":  orderBatch{"10.0.0.1:10000", orders},
+		"a batch of orders":  orderBatch{"10.0.0.1:10000", newProcessID(), orders},
 		"a group of the log": storeRequest{Write: &scheduler.WriteGroup{Group: group}},
 	} {
 		text, err := json.Marshal(message)
--- a/host/relay.go
+++ b/host/relay.go
@@ -53,7 +53,7 @@
 	}
 	out, ok := d.callStoreVia(ctx, e.Via, storeRequest{Write: &e})
 	if !ok {
-		return scheduler.GroupWritten{Sequence: e.Group.Sequence, Outcome: scheduler.InDoubt, Via: e.Via}
+		return e.Unanswered().(scheduler.GroupWritten)
 	}
 	out.Written.Via = e.Via
 	return out.Written
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -142,10 +142,10 @@
 	if cost >= longAdviceCall {
 		host.longCalls++
 	}
-	id := c.nextCallID()
-	c.adviceCalls[id] = call
 	s.advice.inFlight, s.advice.callTime = true, cost+host.backlog
-	c.emit(AskAdvice{Call: id, Host: host.address, Step: s.stepName(), Workers: ids, Timeout: cost + host.backlog + adviceTimeout})
+	timeout := cost + host.backlog + adviceTimeout
+	id := c.call(AskAdvice{Host: host.address, Step: s.stepName(), Workers: ids, Timeout: timeout}, timeout+adviceCallMargin)
+	c.adviceCalls[id] = call
 }
 
 // hasChangedCandidate reports whether a stage should ask about a changed worker.
@@ -350,12 +350,12 @@
 }
 
 // handleAdviceAnswered handles an answer of the advice service.
-func (c *cell) handleAdviceAnswered(e AdviceAnswered) {
-	call := c.adviceCalls[e.Call]
+func (c *cell) handleAdviceAnswered(id CallID, e AdviceAnswered) {
+	call := c.adviceCalls[id]
 	if call == nil {
 		return
 	}
-	delete(c.adviceCalls, e.Call)
+	delete(c.adviceCalls, id)
 	for _, p := range c.peers {
 		if p.address == call.host {
 			if e.Failed && !e.Refused {
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -72,8 +72,7 @@
 	log         logWriter
 	queueStats  map[QueueName]*queueStats
 	peers       []*peer
-	adviceCalls map[uint64]*adviceCall
-	lastCall    uint64
+	adviceCalls map[CallID]*adviceCall
 	timers      []timer
 	relay       relay
 	// handingOver means that this host is giving up the ownership.
@@ -94,7 +93,7 @@
 	return &cell{
 		reducer: r, now: r.now, wall: r.wall, limits: r.limits,
 		jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{},
-		policies: map[QueueName]*Queue{}, queueStats: map[QueueName]*queueStats{}, adviceCalls: map[uint64]*adviceCall{},
+		policies: map[QueueName]*Queue{}, queueStats: map[QueueName]*queueStats{}, adviceCalls: map[CallID]*adviceCall{},
 		peers: []*peer{{}},
 		log: logWriter{
 			next: 1, lastOfJob: map[JobID]int64{}, groupBytes: min(maxGroupBytes, r.limits.maxStoreValue()-groupOverheadBytes),
@@ -110,17 +109,6 @@
 func (c *cell) handleFenced(worker WorkerID)    { c.reducer.handleFenced(worker) }
 func (c *cell) after(d time.Duration, f func()) { c.timers = append(c.timers, timer{c.now.Add(d), f}) }
 
-// nextCallID returns the ID by which the answer to a call is matched. IDs of
-// different generations differ, so that an answer to a call that this host made in
-// an earlier generation is not mistaken for one of the current generation.
-func (c *cell) nextCallID() uint64 {
-	c.lastCall++
-	return uint64(c.generation)<<callIDBits | c.lastCall
-}
-
-// callIDBits is the number of bits for the calls of one generation.
-const callIDBits = 40
-
 // queue returns a queue of the current configuration. For a queue that has been
 // removed it returns the last known state, since accepted jobs still run.
 func (c *cell) queue(name QueueName) *Queue {
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Effect is an action that the reducer requests. The caller of Step carries it out
-// and reports the result as an event.
+// Effect is an action that the reducer requests. The caller of Step carries it out. An
+// action with a result is the operation of a Call.
 type Effect interface{ isEffect() }
 
 type effect struct{}
@@ -166,7 +166,6 @@
 	effect
 	Worker  WorkerID
 	Address string
-	Call    uint64
 	Token   int64
 	// Deadline is the new end of the lease on the worker's clock, or 0 to leave the
 	// lease unchanged.
@@ -225,7 +224,6 @@
 // AskAdvice asks the advice service which workers may run a step.
 type AskAdvice struct {
 	effect
-	Call uint64
 	// Host is the address of the host that makes the call, or empty for this host.
 	Host    string
 	Step    string
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -19,8 +19,7 @@
 	Event Event
 }
 
-// Event is an input of the reducer: a request, an observation or the result of an
-// effect.
+// Event is an input of the reducer: a request, an observation or the result of a call.
 type Event interface{ isEvent() }
 
 type event struct{}
@@ -95,7 +94,7 @@
 
 // LogRead is the result of ReadLog.
 type LogRead struct {
-	event
+	result
 	Groups []Group
 	// LastRevision is the store's revision of the last group, or 0 if the log is
 	// empty.
@@ -124,7 +123,7 @@
 
 // ClaimAnswered is the result of ClaimOwnership.
 type ClaimAnswered struct {
-	event
+	result
 	Outcome Outcome
 	Lease   int64
 	// Sent is when the call that granted the lease was sent. The lease counts from
@@ -142,7 +141,7 @@
 
 // LeaseRenewed is the result of RenewLease.
 type LeaseRenewed struct {
-	event
+	result
 	Lease   int64
 	Sent    Time
 	Outcome Outcome
@@ -154,7 +153,7 @@
 
 // GroupWritten is the result of WriteGroup.
 type GroupWritten struct {
-	event
+	result
 	Sequence int64
 	Outcome  Outcome
 	// Revision is the store's revision of the group if it is in the store.
@@ -172,7 +171,7 @@
 
 // GroupsDeleted is the result of DeleteGroups.
 type GroupsDeleted struct {
-	event
+	result
 	Through int64
 	Outcome Outcome
 }
@@ -297,10 +296,8 @@
 
 // HoldAnswered is the result of Hold.
 type HoldAnswered struct {
-	event
+	result
 	Worker WorkerID
-	// Call is the number of the Hold call.
-	Call uint64
 	// Failed means that there is no usable answer. OtherLife means that the address
 	// now belongs to another worker.
 	Failed, OtherLife bool
@@ -357,7 +354,7 @@
 
 // StartAnswered is the result of StartTask.
 type StartAnswered struct {
-	event
+	result
 	Worker WorkerID
 	Task   TaskID
 	Run    int64
@@ -367,7 +364,7 @@
 
 // StopAnswered is the result of StopTask.
 type StopAnswered struct {
-	event
+	result
 	Worker WorkerID
 	Task   TaskID
 	Run    int64
@@ -376,7 +373,7 @@
 
 // PaceAnswered is the result of PaceTask.
 type PaceAnswered struct {
-	event
+	result
 	Worker  WorkerID
 	Task    TaskID
 	Run     int64
@@ -393,8 +390,7 @@
 
 // AdviceAnswered is the result of AskAdvice.
 type AdviceAnswered struct {
-	event
-	Call   uint64
+	result
 	Failed bool
 	// Refused means that the service rejected the call because of overload.
 	Refused bool
--- a/scheduler/fakestore_test.go
+++ b/scheduler/fakestore_test.go
@@ -9,7 +9,7 @@
 )
 
 // executeStore carries out a call to the store, with the injected faults.
-func (sim *simulation) executeStore(h *fakeHost, incarnation int, f Effect) {
+func (sim *simulation) executeStore(h *fakeHost, f Operation, answer func(Result)) {
 	lost := sim.rng.Float64() < sim.faults.lostWriteRate
 	caller := sim.caller(h, f)
 	delay := sim.delay()
@@ -17,22 +17,17 @@
 		delay += sim.faults.storeDelay
 	}
 	sim.at(delay, func() {
-		var e Event
+		var res Result
 		if caller != nil && sim.storeReachable(caller) {
 			sim.expireLease()
-			e = sim.storeCall(f)
+			res = sim.storeCall(f)
 		} else {
-			e = unansweredResult(f)
+			res = unreachableResult(f)
 		}
-		switch f.(type) {
-		case WriteGroup:
-			if lost {
-				e = unansweredResult(f)
-			}
-		}
-		if e != nil {
-			sim.at(sim.delay(), func() { sim.post(h, incarnation, e) })
+		if _, ok := f.(WriteGroup); ok && lost {
+			res = f.Unanswered()
 		}
+		sim.at(sim.delay(), func() { answer(res) })
 	})
 }
 
@@ -58,25 +53,20 @@
 	return nil
 }
 
-// unansweredResult returns the event for a call that was not answered, or nil.
-func unansweredResult(f Effect) Event {
+// unreachableResult returns the result of a call that does not reach the store.
+func unreachableResult(f Operation) Result {
 	switch f := f.(type) {
 	case ReadLog:
 		return LogRead{Err: fmt.Errorf("store is down")}
 	case ClaimOwnership:
 		return ClaimAnswered{Outcome: NotDone}
-	case RenewLease:
-		return LeaseRenewed{Lease: f.Lease, Outcome: InDoubt, Via: f.Via}
-	case WriteGroup:
-		return GroupWritten{Sequence: f.Group.Sequence, Outcome: InDoubt, Via: f.Via}
-	case DeleteGroups:
-		return GroupsDeleted{Through: f.Through, Outcome: InDoubt}
+	default:
+		return f.Unanswered()
 	}
-	return nil
 }
 
 // storeCall applies a call that reaches the store.
-func (sim *simulation) storeCall(f Effect) Event {
+func (sim *simulation) storeCall(f Operation) Result {
 	s := &sim.store
 	switch f := f.(type) {
 	case ReadLog:
@@ -107,14 +97,6 @@
 		}
 		s.leaseEnd = sim.now.Add(s.ttl)
 		return LeaseRenewed{Lease: f.Lease, Sent: sim.now, Via: f.Via}
-	case EndLease:
-		if s.owner != nil && s.lease == f.Lease {
-			s.owner = nil
-			s.revision++
-			s.ownerRevision = s.revision
-		}
-	case ReadOwner:
-		return sim.ownerSeen()
 	case WriteGroup:
 		return sim.writeGroup(f)
 	case DeleteGroups:
@@ -130,6 +112,14 @@
 	return nil
 }
 
+func (sim *simulation) endLease(f EndLease) {
+	if s := &sim.store; s.owner != nil && s.lease == f.Lease {
+		s.owner = nil
+		s.revision++
+		s.ownerRevision = s.revision
+	}
+}
+
 func (sim *simulation) writeGroup(f WriteGroup) GroupWritten {
 	s := &sim.store
 	e := GroupWritten{Sequence: f.Group.Sequence, Via: f.Via}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -77,40 +77,39 @@
 
 // deliverOrder delivers an order to a worker and the answer to the host, subject
 // to the faults.
-func (sim *simulation) deliverOrder(h *fakeHost, incarnation int, f Effect) {
-	fw, failed := sim.target(f)
+func (sim *simulation) deliverOrder(h *fakeHost, f Operation, answer func(Result)) {
+	fw, failed := sim.target(f), f.Unanswered()
 	answerLost := sim.rng.Float64() < sim.faults.lostAnswerRate
 	late := sim.rng.Float64() < sim.faults.lateOrderRate
 	if _, ok := f.(Hold); ok {
 		late = false
 	}
 	if fw == nil || !fw.up || sim.isPartitioned(fw) || sim.isIsolated(h) {
-		sim.at(700*msec, func() { sim.post(h, incarnation, failed) })
+		sim.at(700*msec, func() { answer(failed) })
 		return
 	}
 	if late {
-		sim.at(700*msec, func() { sim.post(h, incarnation, failed) })
+		sim.at(700*msec, func() { answer(failed) })
 		// A delayed order is lost when the worker restarts.
 		workerIncarnation := fw.incarnation
 		sim.at(2*time.Second+time.Duration(sim.rng.IntN(10000))*msec, func() {
 			if fw.up && fw.incarnation == workerIncarnation {
-				fw.handleOrder(sim, f, func(Event) {})
+				fw.handleOrder(sim, f, func(Result) {})
 			}
 		})
 		return
 	}
 	sim.at(sim.delay(), func() {
 		if !fw.up || sim.isPartitioned(fw) {
-			sim.at(700*msec, func() { sim.post(h, incarnation, failed) })
+			sim.at(700*msec, func() { answer(failed) })
 			return
 		}
-		fw.handleOrder(sim, f, func(e Event) {
+		fw.handleOrder(sim, f, func(res Result) {
 			if answerLost || sim.isPartitioned(fw) {
-				e = failed
-				sim.at(700*msec, func() { sim.post(h, incarnation, e) })
+				sim.at(700*msec, func() { answer(failed) })
 				return
 			}
-			sim.at(sim.delay(), func() { sim.post(h, incarnation, e) })
+			sim.at(sim.delay(), func() { answer(res) })
 		})
 	})
 }
@@ -119,23 +118,23 @@
 	return sim.faults.workerPartitioned != nil && sim.faults.workerPartitioned(fw.info.ID, sim.now)
 }
 
-// target returns the worker of an order and the event that reports a failed call.
-func (sim *simulation) target(f Effect) (*fakeWorker, Event) {
+// target returns the worker of an order.
+func (sim *simulation) target(f Operation) *fakeWorker {
 	switch f := f.(type) {
 	case Hold:
-		return sim.workers[f.Worker], HoldAnswered{Worker: f.Worker, Call: f.Call, Failed: true}
+		return sim.workers[f.Worker]
 	case StartTask:
-		return sim.workers[f.Worker], StartAnswered{Worker: f.Worker, Task: f.Task, Run: f.Run, Result: OrderInDoubt}
+		return sim.workers[f.Worker]
 	case PaceTask:
-		return sim.workers[f.Worker], PaceAnswered{Worker: f.Worker, Task: f.Task, Run: f.Run, Percent: f.Percent, Result: OrderInDoubt}
+		return sim.workers[f.Worker]
 	case StopTask:
-		return sim.workers[f.Worker], StopAnswered{Worker: f.Worker, Task: f.Task, Run: f.Run, Result: OrderInDoubt}
+		return sim.workers[f.Worker]
 	}
-	return nil, nil
+	return nil
 }
 
 // handleOrder carries out an order at the worker and answers it.
-func (fw *fakeWorker) handleOrder(sim *simulation, f Effect, answer func(Event)) {
+func (fw *fakeWorker) handleOrder(sim *simulation, f Operation, answer func(Result)) {
 	switch f := f.(type) {
 	case Hold:
 		fw.hold(sim, f, answer)
@@ -180,9 +179,9 @@
 	return runs
 }
 
-func (fw *fakeWorker) hold(sim *simulation, h Hold, answer func(Event)) {
+func (fw *fakeWorker) hold(sim *simulation, h Hold, answer func(Result)) {
 	if h.Token < fw.token {
-		answer(HoldAnswered{Worker: h.Worker, Call: h.Call, Fenced: true})
+		answer(HoldAnswered{Worker: h.Worker, Fenced: true})
 		return
 	}
 	fw.token = h.Token
@@ -200,7 +199,7 @@
 			return
 		}
 		answered = true
-		e := HoldAnswered{Worker: h.Worker, Call: h.Call, Born: fw.info.Born, Clock: fw.clock(sim)}
+		e := HoldAnswered{Worker: h.Worker, Born: fw.info.Born, Clock: fw.clock(sim)}
 		for _, r := range fw.sortedRuns() {
 			e.Active = append(e.Active, ActiveRun{Task: r.id, Run: r.number, Percent: 1, Usage: fw.tailLatency(sim, r)})
 		}
@@ -216,7 +215,7 @@
 	sim.at(h.Wait+700*msec, func() {
 		if !answered {
 			answered = true
-			answer(HoldAnswered{Worker: h.Worker, Call: h.Call, Failed: true})
+			answer(HoldAnswered{Worker: h.Worker, Failed: true})
 		}
 	})
 }
@@ -228,7 +227,7 @@
 	}
 }
 
-func (fw *fakeWorker) start(sim *simulation, s StartTask) Event {
+func (fw *fakeWorker) start(sim *simulation, s StartTask) Result {
 	e := StartAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run, Clock: fw.clock(sim)}
 	if s.Token < fw.token {
 		e.Result = OrderFenced
@@ -387,7 +386,7 @@
 	}
 }
 
-func (fw *fakeWorker) stop(sim *simulation, s StopTask) Event {
+func (fw *fakeWorker) stop(sim *simulation, s StopTask) Result {
 	e := StopAnswered{Worker: s.Worker, Task: s.Task, Run: s.Run}
 	if s.Token < fw.token {
 		e.Result = OrderFenced
@@ -416,7 +415,7 @@
 	return ms
 }
 
-func (fw *fakeWorker) pace(sim *simulation, p PaceTask) Event {
+func (fw *fakeWorker) pace(sim *simulation, p PaceTask) Result {
 	e := PaceAnswered{Worker: p.Worker, Task: p.Task, Run: p.Run, Percent: p.Percent}
 	if p.Token < fw.token {
 		e.Result = OrderFenced
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -91,12 +91,10 @@
 
 // sendHold polls a worker for its runs and ends, and extends its lease.
 func (c *cell) sendHold(w *worker) {
-	w.hold.call = c.nextCallID()
 	w.hold.inFlight = true
 	w.hold.sentAt = c.now
 	h := Hold{
-		Worker: w.info.ID, Address: w.info.Address, Call: w.hold.call,
-		Token: c.generation, Via: c.agentFor(w),
+		Worker: w.info.ID, Address: w.info.Address, Token: c.generation, Via: c.agentFor(w),
 	}
 	if w.contacted && w.hold.failures == 0 && w.durableEnd > w.acknowledgedEnd {
 		// After a failed call, the address may belong to a new incarnation of
@@ -124,7 +122,7 @@
 			h.Wait = 0
 		}
 	}
-	c.emit(h)
+	w.hold.call = c.call(h, h.Wait+workerCallTimeout)
 }
 
 // hasUnconfirmedRuns reports whether the worker has runs whose state only its
@@ -139,9 +137,10 @@
 }
 
 // handleHoldAnswered handles a worker's report of its runs and ends.
-func (c *cell) handleHoldAnswered(e HoldAnswered) {
+func (c *cell) handleHoldAnswered(id CallID, e HoldAnswered) {
 	w := c.workers[e.Worker]
-	if w == nil || e.Call != w.hold.call || !w.hold.inFlight {
+	if w == nil || id != w.hold.call || !w.hold.inFlight {
+		// The call was made to an earlier entry of the worker.
 		return
 	}
 	w.hold.inFlight = false
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -118,6 +118,8 @@
 	// sent again.
 	inFlight *Group
 	retryAt  Time
+	// writes are the calls that write inFlight.
+	writes []CallID
 	// writeFailed means that the last attempt to write inFlight failed or timed out.
 	writeFailed bool
 	// appended counts the records that were added, durable those that are in the
@@ -219,9 +221,8 @@
 func (c *cell) flush() {
 	l := &c.log
 	if l.inFlight != nil {
-		if l.retryAt != 0 && c.now >= l.retryAt {
-			l.retryAt = c.now.Add(writeHedgeDelay)
-			c.emit(WriteGroup{Group: *l.inFlight, OwnerRevision: c.ownerRevision, Via: c.relay.via})
+		if c.now >= l.retryAt {
+			c.writeGroup(l.inFlight)
 		}
 		return
 	}
@@ -248,9 +249,22 @@
 		l.pendingSize = 0
 		clear(l.lastOfJob)
 	}
+	c.writeGroup(g)
+}
+
+// writeGroup writes a group, or writes the group in flight once more.
+func (c *cell) writeGroup(g *Group) {
+	l := &c.log
 	l.inFlight = g
 	l.retryAt = c.now.Add(writeHedgeDelay)
-	c.emit(WriteGroup{Group: *g, OwnerRevision: c.ownerRevision, Via: c.relay.via})
+	l.writes = append(l.writes, c.call(WriteGroup{Group: *g, OwnerRevision: c.ownerRevision, Via: c.relay.via}, storeCallTimeout))
+}
+
+// endWrite ends the write of the group in flight. Results of further attempts do not
+// concern the groups that follow, which may have the same sequence number.
+func (l *logWriter) endWrite(r *Reducer) {
+	r.forgetCalls(l.writes...)
+	l.inFlight, l.writeFailed, l.writes = nil, false, nil
 }
 
 // handleGroupRejected divides a group that the store rejects for good, because
@@ -266,7 +280,7 @@
 		c.reducer.stepDown("the store rejects a group of the log that cannot be divided")
 		return
 	}
-	l.inFlight, l.writeFailed = nil, false
+	l.endWrite(c.reducer)
 	l.groupBytes = min(l.groupBytes, size) / 2
 	if g.Snapshot > 0 {
 		l.snapshot = nil
@@ -292,7 +306,7 @@
 func (c *cell) groupDurable(revision int64) {
 	l := &c.log
 	g := l.inFlight
-	l.inFlight, l.writeFailed = nil, false
+	l.endWrite(c.reducer)
 	l.next, l.lastRevision = g.Sequence+1, revision
 	if g.SnapshotLast {
 		c.deleteBefore(l.snapshotSequence)
@@ -341,9 +355,7 @@
 	g := l.snapshot[0]
 	l.snapshot = l.snapshot[1:]
 	g.Sequence = l.next
-	l.inFlight = &g
-	l.retryAt = c.now.Add(writeHedgeDelay)
-	c.emit(WriteGroup{Group: g, OwnerRevision: c.ownerRevision, Via: c.relay.via})
+	c.writeGroup(&g)
 }
 
 // maxGroupsPerDelete is the number of groups that one call deletes: a call has at most
@@ -359,7 +371,7 @@
 		return
 	}
 	l.deleting = true
-	c.emit(DeleteGroups{From: l.first, Through: min(seq-1, l.first+maxGroupsPerDelete-1), OwnerRevision: c.ownerRevision})
+	c.call(DeleteGroups{From: l.first, Through: min(seq-1, l.first+maxGroupsPerDelete-1), OwnerRevision: c.ownerRevision}, storeCallTimeout)
 }
 
 // replay applies the groups of the log to an empty cell.
--- a/scheduler/outage_test.go
+++ b/scheduler/outage_test.go
@@ -14,9 +14,12 @@
 	down := sim.now.Add(8 * time.Second)
 	sim.faults.storeDown = func(at Time) bool { return at < down }
 	step := Step{Count: 1, Need: Resources{MilliCPU: 500, MemoryMB: 10}, Estimate: 100 * msec}
+	// Each host receives a share of the requests, since each learns of the outage itself.
+	asked := 0
 	ask := func(id JobID, f func(Answer)) {
 		sim.jobs[id] = &fakeJob{id: id, queue: "urgent", spec: JobSpec{Steps: []Step{step}}, acknowledgedDone: map[TaskID]bool{}, done: map[TaskID]bool{}}
-		sim.ask(func(t Token) Event {
+		asked++
+		sim.askHost(sim.hosts[asked%len(sim.hosts)], func(t Token) Event {
 			return SubmitReceived{Token: t, Queue: "urgent", Job: id, Spec: sim.jobs[id].spec, Deadline: sim.now.Add(callerTimeout)}
 		}, f)
 	}
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -59,6 +59,8 @@
 	// claimAt is when to start a claim, or 0 if none is planned.
 	claimAt        Time
 	attemptStarted Time
+	// attempt is the read of the log or the claim in flight.
+	attempt CallID
 	// lease is the lease of this host and ttl its time to live. renewedAt is when
 	// the last successful renewal was sent, and renewSentAt when the last one was
 	// sent.
@@ -68,6 +70,8 @@
 	renewSentAt Time
 	renewVia    string
 	renewing    bool
+	// renewal is the last renewal that was sent.
+	renewal CallID
 	// noClaimUntil is the time before which this host does not claim.
 	noClaimUntil Time
 	// reclaiming means that the lease ended while this host was the owner, and that
@@ -106,6 +110,7 @@
 		}
 		if o.phase == phaseReading {
 			o.phase = phaseFollow
+			r.forgetCalls(o.attempt)
 		}
 		o.claimAt = 0
 		r.sendHello()
@@ -143,9 +148,7 @@
 			}
 		}
 	case phaseReading, phaseClaiming:
-		if r.now.Sub(o.attemptStarted) > claimTimeout {
-			r.abortClaim("no answer in time")
-		}
+		// The attempt ends with the result of its call.
 	case phaseOwner:
 		r.advanceLease()
 		if r.cell != nil && r.cell.handingOver {
@@ -163,7 +166,7 @@
 func (r *Reducer) readLog() {
 	o := &r.owner
 	o.phase, o.attemptStarted, o.claimAt = phaseReading, r.now, 0
-	r.emit(ReadLog{From: 1})
+	o.attempt = r.call(ReadLog{From: 1}, claimTimeout)
 }
 
 // handleLogRead restores the state from the log and claims the ownership.
@@ -188,12 +191,12 @@
 	o := &r.owner
 	o.phase, o.attemptStarted = phaseClaiming, r.now
 	record := OwnerRecord{Host: r.self.Host, Address: r.self.Address, Generation: c.generation + 1}
-	r.emit(ClaimOwnership{
+	o.attempt = r.call(ClaimOwnership{
 		Record: record, TTL: max(leaseTTL, r.limits.MinStoreLease),
 		Opening:   Group{Sequence: c.log.next, Generation: record.Generation, Host: r.self.Host},
 		Preceding: c.log.lastRevision,
 		Replaces:  r.replacedRecord(),
-	})
+	}, claimTimeout)
 }
 
 // replacedRecord returns the revision of the owner record that a claim replaces:
@@ -268,14 +271,13 @@
 	if g := c.log.inFlight; g != nil && g.Snapshot > 0 {
 		// The claim wrote a group between the parts, so the snapshot would not be
 		// complete. A new one is written later.
-		c.log.inFlight = nil
+		c.log.endWrite(c.reducer)
 		return
 	}
 	if g := c.log.inFlight; g != nil {
+		c.log.endWrite(c.reducer)
 		g.Sequence, g.Generation = c.log.next, c.generation
-		c.log.retryAt = c.now.Add(writeHedgeDelay)
-		c.log.writeFailed = false
-		c.emit(WriteGroup{Group: *g, OwnerRevision: c.ownerRevision, Via: c.relay.via})
+		c.writeGroup(g)
 	}
 }
 
@@ -284,6 +286,7 @@
 func (r *Reducer) abortClaim(reason string, inputs ...Field) {
 	o := &r.owner
 	o.phase = phaseFollow
+	r.forgetCalls(o.attempt)
 	r.pendingCell = nil
 	if r.cell != nil {
 		o.phase, o.reclaiming = phaseOwner, true
@@ -317,7 +320,7 @@
 			r.cell.storeFailed(o.renewVia)
 		}
 		o.renewing, o.renewSentAt, o.renewVia = true, r.now, r.cell.relay.via
-		r.emit(RenewLease{Lease: o.lease, Via: o.renewVia})
+		o.renewal = r.call(RenewLease{Lease: o.lease, Via: o.renewVia}, storeCallTimeout)
 	}
 	if r.now > r.workerLeaseGraceEnd() {
 		r.stepDown("the lease could not be renewed in time")
@@ -329,12 +332,16 @@
 func (c *cell) writeResultKnown() bool { return c.log.inFlight == nil || c.log.writeFailed }
 
 // handleLeaseRenewed processes the result of a renewal.
-func (r *Reducer) handleLeaseRenewed(e LeaseRenewed) {
+func (r *Reducer) handleLeaseRenewed(id CallID, e LeaseRenewed) {
 	o := &r.owner
 	if o.phase != phaseOwner || e.Lease != o.lease || o.reclaiming {
 		return
 	}
-	o.renewing = false
+	if id != o.renewal && e.Outcome != Done {
+		// A later renewal of the lease is in flight or has succeeded.
+		return
+	}
+	o.renewing = o.renewing && id != o.renewal
 	switch {
 	case e.Ended:
 		r.handleLeaseLoss("the store has ended the lease")
@@ -400,6 +407,8 @@
 	r.emit(Decision{Kind: "owner", Outcome: "stepped_down", Reason: reason, Fields: []Field{{"generation", c.generation}}})
 	r.cell = nil
 	o := &r.owner
+	r.forgetCallsOf(c)
+	r.forgetCalls(o.attempt)
 	o.phase = phaseFollow
 	if o.record.Generation <= c.generation {
 		o.known, o.present = false, false
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -52,7 +52,7 @@
 		w.throttlePercent, w.throttledAt = max(0, w.throttlePercent-paceStepPercent), c.now
 	}
 	for _, r := range scavenging {
-		if r.throttlePercent != w.throttlePercent && !r.throttlePending && c.mayExtendWorkerLeases() {
+		if r.throttlePercent != w.throttlePercent && r.paceCall == 0 && c.mayExtendWorkerLeases() {
 			c.sendPace(r, w.throttlePercent)
 		}
 	}
@@ -61,18 +61,17 @@
 // sendPace orders a worker to throttle a run.
 func (c *cell) sendPace(r *run, throttlePercent int) {
 	w := r.worker
-	r.throttlePending = true
-	c.emit(PaceTask{
+	r.paceCall = c.call(PaceTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Percent: fullPacePercent - throttlePercent,
 		Token: c.generation, Via: c.agentFor(w),
-	})
+	}, workerCallTimeout)
 	c.logDecision(Decision{Kind: "pace", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
 		Fields: []Field{{"percent", int64(fullPacePercent - throttlePercent)}}})
 }
 
 // handlePaceAnswered handles the answer to a PaceTask. One that failed or is in
 // doubt is sent again after the worker's next report.
-func (c *cell) handlePaceAnswered(e PaceAnswered) {
+func (c *cell) handlePaceAnswered(id CallID, e PaceAnswered) {
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
@@ -82,10 +81,10 @@
 		return
 	}
 	r := w.runs[runKey{e.Task, e.Run}]
-	if r == nil || !r.throttlePending {
+	if r == nil || id != r.paceCall {
 		return
 	}
-	r.throttlePending = false
+	r.paceCall = 0
 	if e.Result == OrderAccepted {
 		r.throttlePercent = fullPacePercent - e.Percent
 	}
--- a/scheduler/reconcile_test.go
+++ b/scheduler/reconcile_test.go
@@ -64,7 +64,7 @@
 	sim := newSimulation(t, 4, 1, 1)
 	sim.run(time.Second)
 	h := sim.owner()
-	earlier := h.r.cell.lastCall
+	earlier := h.r.calls.last
 	h.r.stepDown("test")
 	sim.store.owner = nil
 	sim.store.revision++
@@ -75,8 +75,8 @@
 	if !worker.hold.inFlight {
 		t.Fatal("no Hold to the worker is in flight")
 	}
-	for call := uint64(1); call <= earlier+3; call++ {
-		sim.post(h, h.incarnation, HoldAnswered{Worker: "w00", Call: call, Born: worker.info.Born, Clock: 1})
+	for id := CallID(1); id <= earlier; id++ {
+		sim.post(h, h.incarnation, CallAnswered{ID: id, Result: HoldAnswered{Worker: "w00", Born: worker.info.Born, Clock: 1}})
 	}
 	if h.r.cell.generation < 2 || worker.contacted {
 		t.Errorf("generation %d, contacted %v; want generation 2 or later and no contact", h.r.cell.generation, worker.contacted)
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -45,6 +45,7 @@
 	// cell is the state of the owner, or nil if this host is not the owner.
 	cell *cell
 
+	calls    callTable
 	requests map[Token]*request
 	// maxPower is the CPU capacity of the largest host, as reported by the owner.
 	maxPower  int64
@@ -63,6 +64,7 @@
 	return &Reducer{
 		self: self, limits: limits, rng: rand.New(rand.NewPCG(self.Seed, 1)),
 		removedQueues: map[QueueName]*Queue{}, workers: map[WorkerID]WorkerInfo{}, requests: map[Token]*request{},
+		calls: callTable{pending: map[CallID]pendingCall{}},
 	}
 }
 
@@ -97,12 +99,8 @@
 		r.handleWorkerRemoved(e.ID)
 	case OwnerSeen:
 		r.handleOwnerSeen(e)
-	case LogRead:
-		r.handleLogRead(e)
-	case ClaimAnswered:
-		r.handleClaimAnswered(e)
-	case LeaseRenewed:
-		r.handleLeaseRenewed(e)
+	case CallAnswered:
+		r.handleCallAnswered(e)
 	case SubmitReceived:
 		r.handleRequest(e.Token, e, e.Deadline, e.Forwarded)
 	case StatusReceived:
@@ -129,27 +127,14 @@
 	switch e := e.(type) {
 	case Woken:
 		// Step does the work that is due after every event.
-	case GroupWritten:
-		c.handleGroupWritten(e)
-	case GroupsDeleted:
-		c.handleGroupsDeleted(e)
 	case HelloReceived:
 		c.handleHello(e)
-	case HoldAnswered:
-		c.handleHoldAnswered(e)
-	case StartAnswered:
-		c.handleStartAnswered(e)
-	case StopAnswered:
-		c.handleStopAnswered(e)
-	case PaceAnswered:
-		c.handlePaceAnswered(e)
-	case AdviceAnswered:
-		c.handleAdviceAnswered(e)
 	}
 }
 
 // tick does all work that depends on time.
 func (r *Reducer) tick() {
+	r.expireCalls()
 	r.advanceOwnership()
 	if r.cell != nil {
 		r.cell.advance()
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -91,11 +91,11 @@
 // sendStart sends the start order of a run.
 func (c *cell) sendStart(r *run, ticket string) {
 	w, t := r.worker, r.task
-	c.emit(StartTask{
+	c.call(StartTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Payload: t.stage.job.spec.Payload,
 		Deadline: c.grantLease(w), Token: c.generation, Checkpoint: t.checkpoint, Ticket: ticket,
 		Via: c.agentFor(w),
-	})
+	}, workerCallTimeout)
 	c.logDecision(Decision{Kind: "start", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID,
 		Run: r.number, Queue: t.stage.job.queue, Fields: []Field{
 			{"waited_ms", c.now.Sub(t.stage.readyAt).Milliseconds()},
@@ -205,7 +205,9 @@
 	}
 	r.stopSent = true
 	w := r.worker
-	c.emit(StopTask{Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Token: c.generation, Via: c.agentFor(w)})
+	r.stopCall = c.call(StopTask{
+		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Token: c.generation, Via: c.agentFor(w),
+	}, workerCallTimeout)
 	c.logDecision(Decision{Kind: "stop", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
 		Fields: []Field{{"in_doubt", boolField(r.state == runInDoubt)}}})
 }
@@ -218,15 +220,17 @@
 }
 
 // handleStopAnswered handles the answer to a stop order.
-func (c *cell) handleStopAnswered(e StopAnswered) {
+func (c *cell) handleStopAnswered(id CallID, e StopAnswered) {
 	w := c.workers[e.Worker]
 	if w == nil {
 		return
 	}
 	r := w.runs[runKey{e.Task, e.Run}]
-	if r == nil || !r.stopSent {
+	if r == nil || id != r.stopCall {
+		// The order went to an earlier incarnation of the worker.
 		return
 	}
+	r.stopCall = 0
 	switch e.Result {
 	case OrderAccepted, OrderStaleRun:
 		r.stopConfirmed = true
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -41,6 +41,8 @@
 	// order was carried out, lateOrderRate that of orders that are carried out seconds
 	// later.
 	lostAnswerRate, lateOrderRate float64
+	// lostResultRate is the fraction of calls whose result never reaches the reducer.
+	lostResultRate float64
 	// lostWriteRate is the fraction of writes to the store whose answer is lost.
 	lostWriteRate float64
 	// storeDelay is added to the duration of each write to the store.
@@ -281,11 +283,16 @@
 
 // execute carries out an effect of a host.
 func (sim *simulation) execute(h *fakeHost, incarnation int, f Effect) {
-	back := func(d time.Duration, e Event) { sim.at(d, func() { sim.post(h, incarnation, e) }) }
 	switch f := f.(type) {
 	case Wake:
 		sim.wakes++
-		back(f.After, Woken{})
+		sim.at(f.After, func() { sim.post(h, incarnation, Woken{}) })
+	case Call:
+		sim.executeCall(h, f.Operation, func(res Result) {
+			if sim.rng.Float64() >= sim.faults.lostResultRate {
+				sim.post(h, incarnation, CallAnswered{ID: f.ID, Result: res})
+			}
+		})
 	case Reply:
 		sim.handleReply(h, f)
 	case Decision:
@@ -304,23 +311,47 @@
 				sim.at(sim.delay(), func() { sim.post(o, targetIncarnation, HelloReceived{Host: h.address, Address: h.address}) })
 			}
 		}
-	case ReadLog, ClaimOwnership, RenewLease, EndLease, ReadOwner, WriteGroup, DeleteGroups:
-		sim.executeStore(h, incarnation, f)
+	case EndLease:
+		sim.at(sim.delay(), func() {
+			if caller := sim.caller(h, f); caller != nil && sim.storeReachable(caller) {
+				sim.expireLease()
+				sim.endLease(f)
+			}
+		})
+	case ReadOwner:
+		sim.at(sim.delay(), func() {
+			if sim.storeReachable(h) {
+				sim.expireLease()
+				seen := sim.ownerSeen()
+				sim.at(sim.delay(), func() { sim.post(h, incarnation, seen) })
+			}
+		})
+	}
+}
+
+// executeCall carries out a call of a host and passes its result to answer.
+func (sim *simulation) executeCall(h *fakeHost, op Operation, answer func(Result)) {
+	switch op := op.(type) {
+	case ReadLog, ClaimOwnership, RenewLease, WriteGroup, DeleteGroups:
+		sim.executeStore(h, op, answer)
 	case AskAdvice:
-		sim.adviceCalls[f.Host]++
-		if sim.faults.adviceFails != nil && sim.faults.adviceFails(f.Host) {
-			back(msec, AdviceAnswered{Call: f.Call, Failed: true})
+		sim.adviceCalls[op.Host]++
+		if sim.faults.adviceFails != nil && sim.faults.adviceFails(op.Host) {
+			sim.at(msec, func() { answer(AdviceAnswered{Failed: true}) })
 			return
 		}
-		sim.at(sim.delay()+time.Duration(len(f.Workers))*msec, func() { back(sim.delay(), sim.advise(f)) })
+		sim.at(sim.delay()+time.Duration(len(op.Workers))*msec, func() {
+			advice := sim.advise(op)
+			sim.at(sim.delay(), func() { answer(advice) })
+		})
 	case Hold, StartTask, StopTask, PaceTask:
-		sim.deliverOrder(h, incarnation, f)
+		sim.deliverOrder(h, op, answer)
 	}
 }
 
 // advise answers a call for advice.
 func (sim *simulation) advise(f AskAdvice) AdviceAnswered {
-	e := AdviceAnswered{Call: f.Call, Valid: 1500 * msec}
+	e := AdviceAnswered{Valid: 1500 * msec}
 	for _, id := range f.Workers {
 		if sim.adviceAllows(f.Step, id) {
 			e.Good = append(e.Good, Ticket{id, f.Step + string(id)})
@@ -425,7 +456,11 @@
 // ask sends a request to a random host and calls f with the answer, or with
 // StatusUnknown after callerTimeout.
 func (sim *simulation) ask(build func(Token) Event, f func(Answer)) {
-	h := sim.hosts[sim.rng.IntN(len(sim.hosts))]
+	sim.askHost(sim.hosts[sim.rng.IntN(len(sim.hosts))], build, f)
+}
+
+// askHost sends a request to a host, as ask does.
+func (sim *simulation) askHost(h *fakeHost, build func(Token) Event, f func(Answer)) {
 	sim.lastToken++
 	token := sim.lastToken
 	if !h.alive {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -65,17 +65,19 @@
 	orderedAt, answeredAt Time
 	// mustStop means that the run is to be stopped as soon as its start has been
 	// answered.
-	mustStop       bool
-	stopSent       bool
-	stopConfirmed  bool
+	mustStop      bool
+	stopSent      bool
+	stopConfirmed bool
+	// stopCall is the stop order that is in flight, or 0.
+	stopCall       CallID
 	missingReports int
 	checkpoint     string
 	// expectedDuration is the task's predicted duration at the start.
 	expectedDuration time.Duration
 	// throttlePercent is by how much the run is throttled: 0 is full speed, 100
-	// is paused. throttlePending means that a PaceTask is in flight.
+	// is paused. paceCall is the PaceTask that is in flight, or 0.
 	throttlePercent int
-	throttlePending bool
+	paceCall        CallID
 }
 
 // worker is the owner's view of a worker.
@@ -135,7 +137,7 @@
 
 // holdState is the state of the long poll of a worker.
 type holdState struct {
-	call     uint64
+	call     CallID
 	inFlight bool
 	sentAt   Time
 	// acknowledgedEnd is the highest end that the call in flight acknowledges.
@@ -245,7 +247,7 @@
 		if r.state == runStopping {
 			r.state, r.mustStop = runInDoubt, true
 		}
-		r.stopSent, r.stopConfirmed = false, false
+		r.stopSent, r.stopConfirmed, r.stopCall = false, false, 0
 	}
 	w.incarnation++
 	w.info.Born = born
@@ -255,8 +257,8 @@
 	w.clock, w.clockAt, w.leaseEnd = 0, 0, 0
 	w.notedEnd, w.durableEnd, w.acknowledgedEnd = 0, 0, 0
 	w.unknownRuns = false
-	// Since inFlight is cleared, an answer of the earlier incarnation is ignored.
-	w.hold = holdState{call: w.hold.call}
+	c.reducer.forgetCalls(w.hold.call)
+	w.hold = holdState{}
 	w.health.reset()
 	c.dirty = true
 }
