Admit jobs against the memory of the smallest host

Seen: about 30 accepted jobs with 20,000 occurrences each put each owner over its memory.

Cause: all tasks of all occurrences were created when a job was accepted or replayed, and nothing bounded the sum over all jobs of any shape. Ended jobs kept their tasks.

Change: occurrences are created when they are due and dropped when they are complete. Each job is charged with an upper bound of its memory; the sum is admitted against a budget of the smallest host that is known, before anything is written. A job that does not fit beside the others is refused with a Retry-After, one that never fits is invalid. Runs, further occurrences and advice share the rest.

--- a/host/peer.go
+++ b/host/peer.go
@@ -90,6 +90,7 @@
 	Host    string `json:"host"`
 	Address string `json:"address"`
 	Power   int64  `json:"power"`
+	Memory  int64  `json:"memory,omitempty"`
 	Zone    string `json:"zone"`
 }
 
@@ -127,7 +128,7 @@
 			ctx, cancel := context.WithTimeout(r.Context(), orderTimeout)
 			defer cancel()
 			d.writePeerResponse(w, d.await(ctx, func(t scheduler.Token) scheduler.Event {
-				return scheduler.HelloReceived{Host: h.Host, Address: h.Address, Zone: h.Zone, Power: h.Power, Token: t}
+				return scheduler.HelloReceived{Host: h.Host, Address: h.Address, Zone: h.Zone, Power: h.Power, MemoryBytes: h.Memory, Token: t}
 			}))
 		}
 	})
@@ -218,13 +219,13 @@
 // hello tells the owner that this host is alive.
 func (d *Daemon) hello(ctx context.Context, h scheduler.Hello) {
 	var out scheduler.Answer
-	message := helloMessage{d.settings.Host, d.settings.PeerAddress, d.settings.MilliCPU, d.settings.Zone}
+	message := helloMessage{d.settings.Host, d.settings.PeerAddress, d.settings.MilliCPU, d.settings.Limits.MemoryBytes, d.settings.Zone}
 	if failure := d.callPeer(ctx, h.Address, pathHello, message, &out, orderTimeout); failure != nil {
 		d.log.Info().Err(failure).Str("event", "hello").Str("outcome", "failed").Str("owner", h.Address).Send()
 		return
 	}
 	if out.Status == scheduler.StatusOK {
-		d.post(ctx, scheduler.HelloAnswered{MaxPower: out.MaxPower})
+		d.post(ctx, scheduler.HelloAnswered{MaxPower: out.MaxPower, MinMemory: out.MinMemory})
 	}
 }
 
--- a/host/store.go
+++ b/host/store.go
@@ -39,7 +39,10 @@
 			if err := json.Unmarshal(page.Items[i].Value, &g); err != nil {
 				return scheduler.LogRead{Err: fmt.Errorf("decode log group at key %q: %w", page.Items[i].Key, err)}
 			}
-			read.Groups = append(read.Groups, g)
+			if read.First == 0 {
+				read.First = g.Sequence
+			}
+			read.Groups = scheduler.TrimLog(append(read.Groups, g))
 			read.LastRevision = page.Items[i].Revision
 		}
 		if page.Next == "" {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -25,7 +25,7 @@
 		c.logDecision(Decision{Kind: "submit", Outcome: refusal.Status.String(), Job: e.Job, Queue: e.Queue,
 			Reason: string(refusal.Reason), Fields: []Field{
 				{"retry_after_ms", refusal.RetryAfter.Milliseconds()}, {"config_version", e.ConfigVersion},
-				{"ready_stages", int64(len(c.ready))}}})
+				{"ready_stages", int64(len(c.ready))}, {"charged_bytes", c.chargedBytes}}})
 		c.reply(e.Token, *refusal)
 		return
 	}
@@ -60,34 +60,6 @@
 	}
 }
 
-// openJob adds the stages of a job to the ready list, now or when their occurrence is
-// due.
-func (c *cell) openJob(j *job) {
-	for _, o := range j.occurrences {
-		if j.spec.Repeat > 0 && o.due > c.wall {
-			c.scheduledOccurrences = append(c.scheduledOccurrences, o)
-			continue
-		}
-		c.openStages(o)
-	}
-}
-
-// openDueOccurrences opens the occurrences that are due.
-func (c *cell) openDueOccurrences() {
-	keep := c.scheduledOccurrences[:0]
-	for _, o := range c.scheduledOccurrences {
-		switch {
-		case o.job().isEnding():
-		case o.due <= c.wall:
-			c.openStages(o)
-		default:
-			keep = append(keep, o)
-		}
-	}
-	clear(c.scheduledOccurrences[len(keep):])
-	c.scheduledOccurrences = keep
-}
-
 // admit returns the refusal of a job, or nil if it can be accepted.
 func (c *cell) admit(e SubmitReceived) *Answer {
 	switch {
@@ -99,7 +71,7 @@
 	if rec := c.acceptance(e.Job, e.Queue, &e.Spec); !c.fitsStore(&rec) {
 		return &Answer{Status: StatusInvalid, Reason: ReasonTooLarge}
 	}
-	return nil
+	return c.refuseForMemory(&e.Spec)
 }
 
 // handleStatus answers a request for the state of a job.
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -376,6 +376,9 @@
 	s := call.stage
 	s.advice.inFlight = false
 	c.dirty = true
+	if s.job.isEnding() || s.waiting == 0 && s.done == len(s.tasks) {
+		return
+	}
 	if e.Failed || e.Refused {
 		s.advice.retryAt = c.now.Add(adviceRetryDelay)
 		c.logDecision(Decision{Kind: "advice", Outcome: "failed", Job: s.job.id, Task: s.stepName(),
@@ -409,8 +412,12 @@
 		if ok && !slices.Contains(s.advice.allowed, w) {
 			s.advice.allowed = append(s.advice.allowed, w)
 		}
+		if _, known := s.advice.results[w]; !known {
+			c.tickets++
+		}
 		s.advice.results[w] = adviceResult{born: call.born[i], allowed: ok, ticket: ticket, validUntil: c.now.Add(valid)}
 	}
+	c.limitAdvice(s)
 	if newResults > 0 {
 		stats := c.stats(s.job.queue)
 		stats.allowedSamples++
@@ -420,3 +427,19 @@
 	c.logDecision(Decision{Kind: "advice", Outcome: "answered", Job: s.job.id, Task: s.stepName(), Fields: []Field{
 		{"asked", int64(len(call.workers))}, {"good", int64(len(e.Good))}, {"took_ms", c.now.Sub(call.sent).Milliseconds()}}})
 }
+
+// releaseAdvice drops the answers for a stage that needs none any more.
+func (c *cell) releaseAdvice(s *stage) {
+	c.tickets -= len(s.advice.results)
+	s.advice.results, s.advice.allowed = nil, nil
+}
+
+// limitAdvice drops answers for the stages that are placed last, other than the given one,
+// if there are more than the memory budget allows. They can be asked for again.
+func (c *cell) limitAdvice(s *stage) {
+	for i := len(c.ready) - 1; i >= 0 && c.tickets > c.budget.tickets; i-- {
+		if last := c.ready[i]; last != s && !last.advice.inFlight {
+			c.releaseAdvice(last)
+		}
+	}
+}
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -16,6 +16,11 @@
 
 	jobs    map[JobID]*job
 	jobList []*job
+	// chargedBytes is the memory that is charged for jobs, runs and advice.
+	chargedBytes int64
+	budget       memoryBudget
+	// tickets is the number of the advice service's answers that are kept.
+	tickets int
 	workers map[WorkerID]*worker
 	// workersByID holds the workers sorted by ID.
 	workersByID []*worker
@@ -31,9 +36,10 @@
 	// last pass began. changed are those that the current pass looks at.
 	nextChanged, changed []*worker
 	// recheckAll means that the next pass compares every stage with all workers.
-	recheckAll           bool
-	ready                []*stage
-	scheduledOccurrences []*occurrence
+	recheckAll bool
+	ready      []*stage
+	// scheduledJobs are the open jobs with occurrences that have not been created.
+	scheduledJobs []*job
 	// reservingGangs are the gangs with reserved capacity. reservedCPU is the sum
 	// of their reserved processors, capacityCPU the processors of the fleet.
 	reservingGangs           []*stage
@@ -90,7 +96,7 @@
 }
 
 func newCell(r *Reducer) *cell {
-	return &cell{
+	c := &cell{
 		reducer: r, now: r.now, wall: r.wall, limits: r.limits,
 		jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{},
 		policies: map[QueueName]*Queue{}, queueStats: map[QueueName]*queueStats{}, adviceCalls: map[CallID]*adviceCall{},
@@ -99,6 +105,8 @@
 			next: 1, lastOfJob: map[JobID]int64{}, groupBytes: min(maxGroupBytes, r.limits.maxStoreValue()-groupOverheadBytes),
 		},
 	}
+	c.refreshBudget()
+	return c
 }
 
 func (c *cell) emit(e Effect)                   { c.reducer.emit(e) }
@@ -141,6 +149,7 @@
 
 // advance does the periodic work that is due.
 func (c *cell) advance() {
+	c.refreshBudget()
 	c.runTimers()
 	c.openDueOccurrences()
 	c.settleInherited()
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -54,6 +54,8 @@
 	StatusRetention time.Duration
 	// MinStoreLease is the shortest time to live of a lease that the store grants.
 	MinStoreLease time.Duration
+	// MemoryBytes is the memory beyond which the process is killed, or 0 for no limit.
+	MemoryBytes int64
 	// MaxStoreValue is the size of the largest value that the store accepts, in bytes,
 	// or 0 for defaultMaxStoreValue.
 	MaxStoreValue int
--- a/scheduler/effect.go
+++ b/scheduler/effect.go
@@ -42,22 +42,26 @@
 
 // Reasons of answers and of readiness.
 const (
-	ReasonNone         Reason = ""
-	ReasonNoConfig     Reason = "no_config"
-	ReasonNoOwner      Reason = "no_owner"
-	ReasonOwnerLost    Reason = "ownership_lost"
-	ReasonNoLease      Reason = "no_lease"
-	ReasonDeadline     Reason = "deadline"
-	ReasonStore        Reason = "store_unavailable"
-	ReasonOverload     Reason = "overload"
-	ReasonTooLate      Reason = "cannot_end_in_time"
-	ReasonNeverFits    Reason = "fits_no_worker"
-	ReasonTooLarge     Reason = "too_large_for_store"
-	ReasonNoWorkers    Reason = "no_workers"
-	ReasonQueueRemoved Reason = "queue_removed"
-	ReasonUnknownJob   Reason = "unknown_job"
-	ReasonStopping     Reason = "stopping"
-	ReasonForward      Reason = "owner_unreachable"
+	ReasonNone      Reason = ""
+	ReasonNoConfig  Reason = "no_config"
+	ReasonNoOwner   Reason = "no_owner"
+	ReasonOwnerLost Reason = "ownership_lost"
+	ReasonNoLease   Reason = "no_lease"
+	ReasonDeadline  Reason = "deadline"
+	ReasonStore     Reason = "store_unavailable"
+	ReasonOverload  Reason = "overload"
+	ReasonTooLate   Reason = "cannot_end_in_time"
+	ReasonNeverFits Reason = "fits_no_worker"
+	ReasonTooLarge  Reason = "too_large_for_store"
+	// ReasonTooLargeForMemory means that a job never fits into the memory of a host,
+	// ReasonMemory that it does not fit beside the jobs that are accepted now.
+	ReasonTooLargeForMemory Reason = "too_large_for_memory"
+	ReasonMemory            Reason = "memory"
+	ReasonNoWorkers         Reason = "no_workers"
+	ReasonQueueRemoved      Reason = "queue_removed"
+	ReasonUnknownJob        Reason = "unknown_job"
+	ReasonStopping          Reason = "stopping"
+	ReasonForward           Reason = "owner_unreachable"
 )
 
 // Answer is the answer to a request of a caller or of another host.
@@ -73,6 +77,9 @@
 	// MaxPower is set in answers to HelloReceived: the CPU capacity of the largest
 	// known host, in thousandths of a core.
 	MaxPower int64 `json:"max_power,omitempty"`
+	// MinMemory is set in answers to HelloReceived: the memory of the smallest known
+	// host in bytes, or 0 if none has a limit.
+	MinMemory int64 `json:"min_memory,omitempty"`
 }
 
 // Reply answers a caller's request.
--- a/scheduler/event.go
+++ b/scheduler/event.go
@@ -96,6 +96,9 @@
 type LogRead struct {
 	result
 	Groups []Group
+	// First is the sequence number of the first group in the store, which may come
+	// before Groups.
+	First int64
 	// LastRevision is the store's revision of the last group, or 0 if the log is
 	// empty.
 	LastRevision int64
@@ -181,7 +184,9 @@
 	event
 	Host, Address, Zone string
 	Power               int64
-	Token               Token
+	// MemoryBytes is the memory beyond which the process is killed, or 0 for no limit.
+	MemoryBytes int64
+	Token       Token
 }
 
 // HelloAnswered is the owner's answer to Hello.
@@ -190,6 +195,9 @@
 	// MaxPower is the CPU capacity of the largest known host, in thousandths of a
 	// core.
 	MaxPower int64
+	// MinMemory is the memory of the smallest known host in bytes, or 0 if none has a
+	// limit.
+	MinMemory int64
 }
 
 // SubmitReceived is a caller's request to run a job.
--- a/scheduler/fakecaller_test.go
+++ b/scheduler/fakecaller_test.go
@@ -68,12 +68,14 @@
 
 // checkComplete checks that all tasks of a job that is reported as complete are done.
 func (sim *simulation) checkComplete(j *fakeJob) {
-	for s := range j.spec.Steps {
-		for i := range j.spec.Steps[s].Count {
-			id := TaskID{j.id, 0, s, i}
-			if !j.done[id] && !(j.spec.Steps[s].Gang && j.done[TaskID{j.id, 0, s, 0}]) {
-				sim.addViolation("job %s is reported as complete although task %s is not done", j.id, id)
-				return
+	for k := range j.spec.occurrences() {
+		for s := range j.spec.Steps {
+			for i := range j.spec.Steps[s].Count {
+				id := TaskID{j.id, k, s, i}
+				if !j.done[id] && !(j.spec.Steps[s].Gang && j.done[TaskID{j.id, k, s, 0}]) {
+					sim.addViolation("job %s is reported as complete although task %s is not done", j.id, id)
+					return
+				}
 			}
 		}
 	}
--- a/scheduler/fakestore_test.go
+++ b/scheduler/fakestore_test.go
@@ -76,7 +76,10 @@
 			if err := json.Unmarshal(s.log[seq], &g); err != nil {
 				sim.t.Fatal(err)
 			}
-			e.Groups, e.LastRevision = append(e.Groups, g), s.logRevisions[seq]
+			if e.First == 0 {
+				e.First = seq
+			}
+			e.Groups, e.LastRevision = TrimLog(append(e.Groups, g)), s.logRevisions[seq]
 		}
 		return e
 	case ClaimOwnership:
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -264,6 +264,12 @@
 	if j.refused && !j.inDoubt && !j.accepted && sim.noRequestInFlight(j) {
 		sim.addViolation("task %s starts although its job was refused", r.id)
 	}
+	if _, started := j.firstStart[r.id]; !started {
+		if j.firstStart == nil {
+			j.firstStart = map[TaskID]int64{}
+		}
+		j.firstStart[r.id] = sim.wall()
+	}
 	step := &j.spec.Steps[r.id.Step]
 	used := Resources{}
 	for _, o := range fw.runs {
@@ -283,7 +289,7 @@
 	}
 	for _, earlier := range step.After {
 		for i := range j.spec.Steps[earlier].Count {
-			if !j.done[TaskID{j.id, 0, earlier, i}] {
+			if !j.done[TaskID{j.id, r.id.Occurrence, earlier, i}] {
 				sim.addViolation("task %s starts before step %d is complete", r.id, earlier)
 				return
 			}
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -21,7 +21,11 @@
 	// submitWaiters are the requests that wait for the acceptance, cancelWaiters
 	// those that wait for the cancellation.
 	submitWaiters, cancelWaiters []Token
-	occurrences                  []*occurrence
+	// occurrences holds the occurrences that have been created and are not complete,
+	// sorted by index. created is the number of those that have been created, in
+	// ascending order.
+	occurrences []*occurrence
+	created     int
 	// state is the current state, reported the state in answers to callers. A
 	// terminal state is reported once it is in the store.
 	state, reported JobState
@@ -30,22 +34,9 @@
 	started bool
 	// endedWall is when the job ended, in milliseconds since the Unix epoch.
 	endedWall int64
-	// openOccurrences is the number of occurrences that are not complete.
-	openOccurrences int
-}
-
-// occurrence is one execution of the steps of a job.
-type occurrence struct {
-	index int
-	// due is when the occurrence is due, in milliseconds since the Unix epoch.
-	due    int64
-	stages []*stage
-	// openStages is the number of stages that are not complete.
-	openStages int
-	// opened means that the occurrence is due and its stages may be queued.
-	opened bool
-	// critical holds the critical paths as of the last Step that enqueued a stage.
-	critical criticalPaths
+	// chargedBytes is the memory that is charged for the job, specBytes that of its
+	// specification and occurrenceBytes that of an open occurrence.
+	chargedBytes, specBytes, occurrenceBytes int64
 }
 
 // stage is a step of an occurrence.
@@ -89,7 +80,9 @@
 	if s.runsPerWorker == nil {
 		s.runsPerWorker = map[*worker]int{}
 	}
-	s.runsPerWorker[w] += n
+	if s.runsPerWorker[w] += n; s.runsPerWorker[w] == 0 {
+		delete(s.runsPerWorker, w)
+	}
 }
 
 // taskState is the state of a task.
@@ -129,49 +122,35 @@
 	return TaskID{Job: s.job.id, Occurrence: s.occ.index, Step: s.index}.StepName()
 }
 
-// addJob creates a job with all its occurrences and tasks.
+// addJob creates a job. The tasks of a job that is not repeated are created with it.
 func (c *cell) addJob(id JobID, queue QueueName, spec *JobSpec, accepted int64) *job {
 	j := &job{id: id, queue: queue, policy: c.queue(queue), spec: spec, acceptedWall: accepted}
 	j.acceptedAt = c.now.Add(-time.Duration(max(0, c.wall-accepted)) * msec)
-	if len(spec.Steps) > 0 {
-		for k := range spec.occurrences() {
-			j.occurrences = append(j.occurrences, newOccurrence(j, k))
-		}
+	j.specBytes, j.occurrenceBytes = specBytes(spec), occurrenceCharge(spec)
+	if len(spec.Steps) > 0 && spec.Repeat == 0 {
+		c.createThrough(j, 0)
 	}
-	j.openOccurrences = len(j.occurrences)
+	c.charge(j)
 	c.jobs[id] = j
 	c.jobList = append(c.jobList, j)
 	return j
 }
 
-// newOccurrence creates the stages and tasks of an occurrence.
-func newOccurrence(j *job, k int) *occurrence {
-	o := &occurrence{index: k, openStages: len(j.spec.Steps), due: j.acceptedWall}
-	if j.spec.Repeat > 0 {
-		o.due = j.spec.First + int64(k)*j.spec.Interval.Milliseconds()
-	}
-	for i := range j.spec.Steps {
-		s := &stage{job: j, occ: o, index: i, step: &j.spec.Steps[i]}
-		s.waiting = s.step.Count
-		block := make([]task, s.step.Count)
-		s.tasks = make([]*task, s.step.Count)
-		for n := range block {
-			block[n] = task{stage: s, index: n}
-			s.tasks[n] = &block[n]
-		}
-		o.stages = append(o.stages, s)
-	}
-	return o
+// releaseEndedJob drops all of a job but its final state. Runs that are still being
+// stopped keep what they need.
+func (c *cell) releaseEndedJob(j *job) {
+	j.spec, j.occurrences, j.created = &JobSpec{}, nil, 0
+	c.charge(j)
 }
 
 // findTask returns the task with an ID, or nil.
 func (c *cell) findTask(id TaskID) *task {
 	j := c.jobs[id.Job]
-	if j == nil || id.Occurrence < 0 || id.Occurrence >= len(j.occurrences) {
+	if j == nil {
 		return nil
 	}
-	o := j.occurrences[id.Occurrence]
-	if id.Step < 0 || id.Step >= len(o.stages) || id.Index < 0 || id.Index >= len(o.stages[id.Step].tasks) {
+	o := j.occurrence(id.Occurrence)
+	if o == nil || id.Step < 0 || id.Step >= len(o.stages) || id.Index < 0 || id.Index >= len(o.stages[id.Step].tasks) {
 		return nil
 	}
 	return o.stages[id.Step].tasks[id.Index]
@@ -185,7 +164,8 @@
 	if j.reported.isTerminal() {
 		return []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Final: j.reported, FinalAt: j.endedWall}}
 	}
-	records := []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Spec: j.spec, Policy: policy, Cancelled: j.cancelled}}
+	records := []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Spec: j.spec, Policy: policy, Cancelled: j.cancelled, Started: j.started}}
+	records = append(records, j.createdRecords()...)
 	var starts []StartRecord
 	var ends []EndRecord
 	for _, o := range j.occurrences {
@@ -210,6 +190,23 @@
 	return records
 }
 
+// createdRecords returns the records of a repeated job that say which of its occurrences
+// have been created and are not complete.
+func (j *job) createdRecords() []Record {
+	if j.spec.Repeat == 0 || j.created == 0 {
+		return nil
+	}
+	records := []Record{{Job: j.id, Created: j.created}}
+	open := make([]int, 0, len(j.occurrences))
+	for _, o := range j.occurrences {
+		open = append(open, o.index)
+	}
+	for chunk := range slices.Chunk(open, maxRunsPerRecord) {
+		records = append(records, Record{Job: j.id, Created: j.created, Open: chunk})
+	}
+	return records
+}
+
 // syntheticFailedRuns returns n increasing run numbers that end with last. They stand
 // for n failed runs, of which only the last number is known.
 func syntheticFailedRuns(n int, last int64) []int64 {
@@ -256,6 +253,7 @@
 	for _, j := range c.jobList {
 		if j.reported.isTerminal() && c.wall-j.endedWall > c.limits.StatusRetention.Milliseconds()+retentionToleranceMS {
 			delete(c.jobs, j.id)
+			c.chargedBytes -= j.chargedBytes
 			continue
 		}
 		keep = append(keep, j)
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -26,7 +26,7 @@
 	if wasOpen && t.stage.done == len(t.stage.tasks) {
 		c.stageComplete(t.stage)
 	}
-	if j.openOccurrences == 0 || kind == EndFailed {
+	if j.isComplete() || kind == EndFailed {
 		c.endJobIfDecided(j)
 	}
 }
@@ -34,14 +34,11 @@
 // applyEnd updates the state of a job for the end of a run. It is also used to replay
 // the log.
 func (c *cell) applyEnd(j *job, e EndRecord) {
-	if e.Occurrence >= len(j.occurrences) || e.Step >= len(j.occurrences[e.Occurrence].stages) {
+	t := c.findTask(TaskID{j.id, e.Occurrence, e.Step, e.Index})
+	if t == nil {
 		return
 	}
-	s := j.occurrences[e.Occurrence].stages[e.Step]
-	if e.Index >= len(s.tasks) {
-		return
-	}
-	t := s.tasks[e.Index]
+	s := t.stage
 	t.lastRun = max(t.lastRun, e.Run)
 	if t.run != nil && t.run.state == runInherited && t.run.number <= e.Run {
 		c.dropTaskRuns(t)
@@ -65,6 +62,10 @@
 	case EndFailed:
 		// A worker repeats an end until it is acknowledged, also to a later owner.
 		// Each run counts once.
+		if s.step.LongRunning {
+			// There is no limit to the attempts, so they need not be remembered.
+			return
+		}
 		if e.Run > t.failedRun {
 			t.failedRun = e.Run
 			t.failures++
@@ -103,9 +104,10 @@
 	t.checkpoint = ""
 	t.stage.done++
 	if t.stage.done == len(t.stage.tasks) {
+		c.releaseAdvice(t.stage)
 		o := t.stage.occ
 		if o.openStages--; o.openStages == 0 {
-			t.stage.job.openOccurrences--
+			c.dropOccurrence(t.stage.job, o.index)
 		}
 	}
 }
@@ -158,7 +160,7 @@
 	case j.state.isTerminal():
 	case j.cancelled:
 		c.endJob(j, JobCancelled)
-	case j.openOccurrences == 0:
+	case j.isComplete():
 		c.endJob(j, JobComplete)
 	case c.attemptsExhausted(j):
 		c.endJob(j, JobFailed)
@@ -209,6 +211,7 @@
 	c.record(Record{Job: j.id, Final: state, FinalAt: c.wall}, false)
 	c.whenDurable(func() {
 		j.reported = state
+		c.releaseEndedJob(j)
 		c.logDecision(Decision{Kind: "job", Outcome: state.String(), Job: j.id, Queue: j.queue,
 			Fields: []Field{{"age_ms", c.now.Sub(j.acceptedAt).Milliseconds()}}})
 	})
@@ -219,6 +222,7 @@
 func (c *cell) stopJob(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
+			c.releaseAdvice(s)
 			if s.step.Gang && s.done == len(s.tasks) {
 				// The members end by themselves.
 				continue
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -23,8 +23,14 @@
 	Starts []StartRecord `json:"starts,omitempty"`
 	// Cancelled means that the caller has requested cancellation. Final is the
 	// terminal state of the job.
-	Cancelled bool     `json:"cancel,omitempty"`
-	Final     JobState `json:"final,omitempty"`
+	Cancelled bool `json:"cancel,omitempty"`
+	// Created is the number of occurrences of a repeated job that have been created,
+	// Open lists those of them that are not complete. Started means that a task of the
+	// job has started. They are only set in snapshots.
+	Created int      `json:"created,omitempty"`
+	Open    []int    `json:"open,omitempty"`
+	Started bool     `json:"started,omitempty"`
+	Final   JobState `json:"final,omitempty"`
 	// FinalAt is when the job ended, in milliseconds since the Unix epoch.
 	FinalAt int64 `json:"final_at,omitempty"`
 	// Worker is a worker that may run tasks from now on. WorkerGone is a worker on
@@ -78,6 +84,7 @@
 	maxRunsPerRecord = 500
 	// snapshotGroups is the number of groups after which a snapshot is written to
 	// truncate the log. A takeover reads the log in pages of 500 groups.
+	// Fewer groups suffice if their records take more than the budget's memory.
 	snapshotGroups = 400
 	// writeRetryDelay is the delay before a failed write is repeated. It is short
 	// because callers wait for the write; repeating is safe because the content is
@@ -126,6 +133,9 @@
 	// store. callbacks are in the order of the records that they wait for.
 	appended, durable int64
 	callbacks         []durableCallback
+	// bytes is the memory of the records since the last snapshot, bytesBeforeSnapshot
+	// what it was when the snapshot in progress began.
+	bytes, bytesBeforeSnapshot int64
 	// snapshot holds the groups of a snapshot that are still to be written.
 	snapshot []Group
 	// snapshotSequence is the sequence number of the first group of the last
@@ -152,6 +162,7 @@
 	if len(l.pending) == 0 || due < l.dueAt {
 		l.dueAt = due
 	}
+	l.bytes += rec.memoryBytes()
 	if l.mergeEnds(rec) {
 		return
 	}
@@ -309,12 +320,13 @@
 	l.endWrite(c.reducer)
 	l.next, l.lastRevision = g.Sequence+1, revision
 	if g.SnapshotLast {
+		l.bytes -= l.bytesBeforeSnapshot
 		c.deleteBefore(l.snapshotSequence)
 	}
 	if g.Snapshot == 0 {
 		l.durable += int64(len(g.Records))
 		c.runCallbacks()
-		if l.next-l.first >= snapshotGroups && !l.deleting && len(l.snapshot) == 0 {
+		if (l.next-l.first >= snapshotGroups || l.bytes >= c.budget.log) && !l.deleting && len(l.snapshot) == 0 {
 			c.beginSnapshot()
 		}
 	}
@@ -325,6 +337,7 @@
 // because applying a record twice has no further effect.
 func (c *cell) beginSnapshot() {
 	l := &c.log
+	l.bytesBeforeSnapshot = l.bytes
 	var records []Record
 	for _, worker := range c.workersByID {
 		if worker.recorded {
@@ -385,6 +398,9 @@
 		case g.Snapshot == 0:
 			parts = nil
 			c.applyRecords(g.Records)
+			for i := range g.Records {
+				c.log.bytes += g.Records[i].memoryBytes()
+			}
 			continue
 		case g.Snapshot == 1:
 			parts = []Group{*g}
@@ -396,15 +412,29 @@
 		}
 		if g.SnapshotLast {
 			c.jobs, c.jobList, c.workers, c.workersByID = map[JobID]*job{}, nil, map[WorkerID]*worker{}, nil
+			c.chargedBytes, c.log.bytes = 0, 0
 			for _, p := range parts {
 				c.applyRecords(p.Records)
 			}
 			parts = nil
 		}
 	}
-	if len(groups) > 0 && c.log.first == 0 {
-		c.log.first = groups[0].Sequence
+}
+
+// TrimLog returns the groups without those that a complete snapshot among them replaces,
+// so that a reader of the log does not keep them in memory.
+func TrimLog(groups []Group) []Group {
+	last := len(groups) - 1
+	if last < 0 || !groups[last].SnapshotLast {
+		return groups
+	}
+	first := last - groups[last].Snapshot + 1
+	for i := max(first, 0); i <= last; i++ {
+		if first < 0 || groups[i].Snapshot != i-first+1 {
+			return groups
+		}
 	}
+	return slices.Clone(groups[first:])
 }
 
 // applyRecords applies records of an earlier owner.
@@ -435,10 +465,13 @@
 		if j == nil {
 			continue
 		}
+		c.applyCreated(j, rec)
 		for _, s := range rec.Starts {
+			c.createThrough(j, s.Occurrence)
 			c.applyStart(j, s)
 		}
 		for _, e := range rec.Ends {
+			c.createThrough(j, e.Occurrence)
 			c.applyEnd(j, e)
 		}
 		if rec.Cancelled {
@@ -446,6 +479,20 @@
 		}
 		if rec.Final.isTerminal() {
 			j.state, j.reported, j.endedWall = rec.Final, rec.Final, rec.FinalAt
+			c.releaseEndedJob(j)
+		}
+	}
+}
+
+// applyCreated applies which occurrences of a repeated job have been created.
+func (c *cell) applyCreated(j *job, rec *Record) {
+	if rec.Created > j.created && j.spec.Repeat > 0 {
+		j.created = min(rec.Created, j.spec.Repeat)
+	}
+	j.started = j.started || rec.Started
+	for _, index := range rec.Open {
+		if index >= 0 && index < j.created {
+			c.createOccurrence(j, index)
 		}
 	}
 }
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -181,7 +181,7 @@
 	}
 	c := newCell(r)
 	c.replay(e.Groups)
-	c.log.lastRevision = e.LastRevision
+	c.log.first, c.log.lastRevision = e.First, e.LastRevision
 	r.pendingCell = c
 	r.claim(c)
 }
--- a/scheduler/peer.go
+++ b/scheduler/peer.go
@@ -21,6 +21,8 @@
 	lastHeard       Time
 	// power is the host's CPU capacity in thousandths of a core.
 	power int64
+	// memory is the memory of the host in bytes, or 0 if it has no limit.
+	memory int64
 	// backlog is the expected total duration of the host's calls for advice in
 	// flight, longCalls the number of long ones among them.
 	backlog   time.Duration
@@ -36,17 +38,25 @@
 
 // handleHello records that a host is alive.
 func (c *cell) handleHello(e HelloReceived) {
-	c.emit(Reply{Token: e.Token, Answer: Answer{MaxPower: c.maxPower()}})
+	p := c.peerAt(e.Address)
+	p.lastHeard, p.power, p.memory, p.zone = c.now, e.Power, e.MemoryBytes, e.Zone
+	c.refreshBudget()
+	c.emit(Reply{Token: e.Token, Answer: Answer{MaxPower: c.maxPower(), MinMemory: c.minMemory()}})
+}
+
+// peerAt returns the peer with an address. It adds one if there is none.
+func (c *cell) peerAt(address string) *peer {
 	for _, p := range c.peers {
-		if p.address == e.Address {
-			p.lastHeard, p.power, p.zone = c.now, e.Power, e.Zone
-			return
+		if p.address == address {
+			return p
 		}
 	}
 	c.peers = slices.DeleteFunc(c.peers, func(p *peer) bool {
 		return p.address != "" && p.backlog == 0 && c.now.Sub(p.lastHeard) > peerExpiry
 	})
-	c.peers = append(c.peers, &peer{address: e.Address, lastHeard: c.now, power: e.Power, zone: e.Zone})
+	p := &peer{address: address}
+	c.peers = append(c.peers, p)
+	return p
 }
 
 // isAlive reports whether a host has sent a Hello recently. The owner itself is always
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -90,14 +90,15 @@
 	switch {
 	case s.step.Gang:
 		c.placeGang(s)
-	case c.withinHeadroom(s) == 0:
-		// The stage may use the headroom once its slack has run out, without a change at
-		// any worker. Later passes therefore compare it with all of them.
+	case c.startable(s) == 0:
+		// The stage may use the headroom once its slack has run out, and more memory
+		// once other runs have ended, without a change at any worker. Later passes
+		// therefore compare it with all of them.
 		s.lastFailedPass = 0
 	default:
 		c.placeTasks(s)
 		s.lastFailedPass = 0
-		if s.waiting > 0 && c.withinHeadroom(s) > 0 {
+		if s.waiting > 0 && c.startable(s) > 0 {
 			s.lastFailedPass = c.passes
 		}
 	}
@@ -216,6 +217,13 @@
 	return 3
 }
 
+// startable returns the number of waiting tasks of a stage that may start without using
+// headroom or memory that has to stay free.
+func (c *cell) startable(s *stage) int {
+	inMemory := max(0, (c.budget.state-c.chargedBytes)/runBytes)
+	return int(min(int64(c.withinHeadroom(s)), inMemory))
+}
+
 // placeTasks starts as many tasks of a stage as fit, and asks for advice if some
 // are left.
 func (c *cell) placeTasks(s *stage) {
@@ -224,7 +232,7 @@
 		if s.waiting == 0 {
 			return
 		}
-		n := min(c.placesOn(s, w), c.withinHeadroom(s))
+		n := min(c.placesOn(s, w), c.startable(s))
 		if n == 0 || !c.usable(s, w) {
 			continue
 		}
@@ -240,7 +248,7 @@
 			c.planStart(t, w, c.nextRunNumber(t.lastRun), ticket)
 		}
 	}
-	if s.waiting > 0 && c.withinHeadroom(s) > 0 {
+	if s.waiting > 0 && c.startable(s) > 0 {
 		c.requestAdvice(s)
 	}
 }
--- a/scheduler/recordsize.go
+++ b/scheduler/recordsize.go
@@ -39,6 +39,13 @@
 	if len(r.Ends) > 0 {
 		n += nameSize("ends") + braceBytes + endsSize(r.Ends)
 	}
+	n += integerSize("created", int64(r.Created)) + boolSize("started", r.Started)
+	if len(r.Open) > 0 {
+		n += nameSize("open") + braceBytes
+	}
+	for _, index := range r.Open {
+		n += digits(int64(index)) + 1
+	}
 	if len(r.Starts) > 0 {
 		n += nameSize("starts") + braceBytes
 	}
--- a/scheduler/reducer.go
+++ b/scheduler/reducer.go
@@ -48,8 +48,12 @@
 	calls    callTable
 	requests map[Token]*request
 	// maxPower is the CPU capacity of the largest host, as reported by the owner.
-	maxPower  int64
-	lastHello Time
+	maxPower int64
+	// minMemory is the memory of the smallest host, as reported by the owner at
+	// minMemoryAt.
+	minMemory   int64
+	minMemoryAt Time
+	lastHello   Time
 	// outageSince is when a request first found no host that could serve it, or 0
 	// if the last request was served.
 	outageSince    Time
@@ -113,6 +117,7 @@
 		r.handleForwardAnswered(e)
 	case HelloAnswered:
 		r.maxPower = e.MaxPower
+		r.minMemory, r.minMemoryAt = e.MinMemory, r.now
 	case StopRequested:
 		r.handleStopRequested()
 	default:
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -81,13 +81,19 @@
 	}
 	t.lastRun = max(t.lastRun, number)
 	s.job.started = true
-	w.runs[runKey{r.id, r.number}] = r
-	w.used.add(r.charge)
+	c.addRun(w, r)
 	s.countRun(w, 1)
 	c.freeCPU -= r.charge.MilliCPU
 	return r
 }
 
+// addRun counts a run against the capacity of its worker and the memory of the host.
+func (c *cell) addRun(w *worker, r *run) {
+	w.runs[runKey{r.id, r.number}] = r
+	w.used.add(r.charge)
+	c.chargedBytes += runBytes
+}
+
 // sendStart sends the start order of a run.
 func (c *cell) sendStart(r *run, ticket string) {
 	w, t := r.worker, r.task
@@ -255,6 +261,7 @@
 	}
 	delete(r.worker.runs, runKey{r.id, r.number})
 	r.worker.used.sub(r.charge)
+	c.chargedBytes -= runBytes
 	if r.task != nil {
 		r.task.stage.countRun(r.worker, -1)
 	}
--- a/scheduler/runreport.go
+++ b/scheduler/runreport.go
@@ -78,15 +78,14 @@
 		// The run's resource needs are unknown, so the worker gets no further
 		// tasks until the run has ended.
 		r.state = runStopping
-		w.runs[runKey{r.id, r.number}] = r
+		c.addRun(w, r)
 		w.unknownRuns = true
 		c.sendStop(r)
 		return nil
 	}
 	r.task = t
 	r.charge = t.stage.step.charge()
-	w.runs[runKey{r.id, r.number}] = r
-	w.used.add(r.charge)
+	c.addRun(w, r)
 	t.stage.countRun(w, 1)
 	t.lastRun = max(t.lastRun, a.Run)
 	t.stage.job.started = true
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -100,7 +100,9 @@
 	complete                bool
 	acknowledgedDone        map[TaskID]bool
 	done                    map[TaskID]bool
-	endedIncomplete         bool
+	// firstStart is the wall-clock time of each task's first start.
+	firstStart      map[TaskID]int64
+	endedIncomplete bool
 }
 
 // fakeHost is a host with its current process.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -174,6 +174,7 @@
 
 // removeWorker removes a worker from the cell.
 func (c *cell) removeWorker(w *worker) {
+	c.chargedBytes -= runBytes * int64(len(w.runs))
 	delete(c.workers, w.info.ID)
 	if i, found := slices.BinarySearchFunc(c.workersByID, w.info.ID, compareWorkerID); found {
 		c.workersByID = slices.Delete(c.workersByID, i, i+1)
