Reserve capacity for gangs in turns of limited length

Seen: a gang of 30 tasks does not fit beside a long-running job that uses 16 of 40 cores.

Cause: in each pass a gang that does not fit reserves what is free. The bound of 12% was compared with what was reserved before, so the first gang reserved everything, for as long as its estimate put it before the others. Enforcing the bound would keep every wider gang from starting under load; what was missing is a bound on the time. Headroom and racks were waited for by a part of the estimate too. Two more causes had the same effect: gangs asked for the same tickets again and again, which kept other stages from the advice service, and a pass never examined the stages behind the first 300.

Change: reservations are made in turns, followed by a pause, and only for gangs that fit beside the long-running tasks. A gang that has waited for 15 s is placed before everything else for some seconds, so that small jobs do not starve it. Headroom and racks are waited for at most 8 s and not by long-running tasks, which take reserved capacity as well.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -219,12 +219,21 @@
 		known := min(len(workers), maxKnownWorkers)
 		unknown = c.unknownCandidates(s, needed-placesNow, maxAdviceWorkers-known, true)
 	}
-	if len(unknown) == 0 && (float64(placesNow) < earlyTicketRatio*float64(needed) || placesIfEmpty < needed) {
+	if len(unknown) == 0 && (float64(placesNow) < earlyTicketRatio*float64(needed) || placesIfEmpty < needed || !c.ticketsExpire(s, workers)) {
 		return nil
 	}
 	return append(workers[:min(len(workers), maxAdviceWorkers-len(unknown))], unknown...)
 }
 
+// ticketsExpire reports whether the ticket for a worker expires before the answer to a
+// call for advice about all of them would arrive. A gang that does not fit keeps its
+// tickets until then, because repeated calls would keep other stages waiting.
+func (c *cell) ticketsExpire(s *stage, workers []*worker) bool {
+	q := s.job.policy.Advice
+	answer := c.now.Add(q.Base + time.Duration(min(len(workers), maxAdviceWorkers))*q.PerWorker + ticketMargin)
+	return slices.ContainsFunc(workers, func(w *worker) bool { return s.advice.results[w].validUntil <= answer })
+}
+
 // maxKnownWorkers is the maximum number of allowed workers in a call for a gang that
 // also asks about unknown ones. Without a place for unknown workers in the call, a gang
 // that needs more workers than one call may name would never learn of enough of them.
@@ -263,8 +272,8 @@
 		if len(unknown) >= limit || mean-askConfidence*math.Sqrt(variance) >= float64(tasks) {
 			break
 		}
-		if !full && w.free().MilliCPU < need {
-			if s.step.DataRack == "" {
+		if !full && s.room(w).MilliCPU < need {
+			if s.step.DataRack == "" && !s.step.LongRunning {
 				break // All others have less.
 			}
 			continue
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -44,6 +44,10 @@
 	// of their reserved processors, capacityCPU the processors of the fleet.
 	reservingGangs           []*stage
 	reservedCPU, capacityCPU int64
+	// first is the gang that is placed before everything else. turnsPausedUntil is when
+	// gangs that do not fit may reserve capacity again after a turn in vain.
+	first            firstPlaced
+	turnsPausedUntil Time
 	// freeCPU is the sum of free processors on the workers that have at least
 	// minFreeShare free.
 	freeCPU int64
@@ -59,6 +63,8 @@
 	// passes counts the passes, examined the stages that the current one has
 	// tried to place.
 	passes, examined int
+	// rotation is the position of the last stage that was placed out of order.
+	rotation int
 	// wakeAt is when the Wake for the next pass arrives. Requesting another one
 	// before would double the events of every later pass.
 	wakeAt Time
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -323,7 +323,7 @@
 		fw.endRun(sim, r, EndDone)
 	}
 	if !step.Gang {
-		sim.at(step.Estimate, finish)
+		sim.at(sim.runTime(j, step), finish)
 		return
 	}
 	sim.at(fakeGangTimeout, func() {
@@ -338,7 +338,7 @@
 	for _, m := range members {
 		m.run.gangComplete = true
 	}
-	sim.at(step.Estimate, func() {
+	sim.at(sim.runTime(j, step), func() {
 		members := sim.gangMembers(r)
 		if len(members) < step.Count {
 			return
@@ -353,6 +353,14 @@
 	})
 }
 
+// runTime returns how long a task of a job runs.
+func (sim *simulation) runTime(j *fakeJob, step *Step) time.Duration {
+	if sim.faults.runTime != nil {
+		return sim.faults.runTime(j.id)
+	}
+	return step.Estimate
+}
+
 type gangMember struct {
 	worker *fakeWorker
 	run    *fakeRun
--- a/scheduler/feasible.go
+++ b/scheduler/feasible.go
@@ -4,12 +4,28 @@
 
 // free returns the capacity of a worker that is neither used nor reserved.
 func (w *worker) free() Resources {
-	free := w.info.Capacity
-	free.sub(w.used)
+	free := w.unused()
 	free.sub(w.reserved)
 	return free
 }
 
+// unused returns the capacity of a worker that is not used.
+func (w *worker) unused() Resources {
+	unused := w.info.Capacity
+	unused.sub(w.used)
+	return unused
+}
+
+// room returns the capacity of a worker that tasks of the stage may take. Long-running
+// tasks take reserved capacity too: they must run again within seconds, and a gang may
+// wait for longer.
+func (s *stage) room(w *worker) Resources {
+	if s.step.LongRunning {
+		return w.unused()
+	}
+	return w.free()
+}
+
 // usable reports whether a worker may run tasks of a stage, regardless of its free
 // capacity.
 func (c *cell) usable(s *stage, w *worker) bool {
@@ -29,7 +45,7 @@
 // addition to those for which the stage has reserved capacity there.
 func (c *cell) placesOn(s *stage, w *worker) int {
 	c.comparisons++
-	n := placesIn(w.free(), s.step.charge(), s.waiting)
+	n := placesIn(s.room(w), s.step.charge(), s.waiting)
 	if n > 0 && s.step.MaxPerWorker > 0 {
 		n = min(n, s.step.MaxPerWorker-s.runsPerWorker[w]-s.reservedOn(w))
 	}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// gangReserveShare is the share of the fleet's processors that may be reserved
-	// for gangs that do not fit yet. More would leave too much capacity idle; with
-	// less, wide gangs wait one behind another under a load of many narrow tasks.
+	// gangReserveShare is the share of the fleet's processors from which no further
+	// gang that does not fit yet reserves capacity. More would leave too much capacity
+	// idle; with less, wide gangs wait one behind another under a load of many narrow
+	// tasks.
 	gangReserveShare = 0.12
 	// ticketReserveMargin is how long capacity stays reserved for a gang beyond
 	// the expected time of the call for its tickets.
@@ -23,7 +24,7 @@
 
 // placeGang starts all tasks of a gang, or none. Capacity is reserved for a gang
 // that has to wait: all of it for a gang that waits only for tickets, and what is
-// free, up to gangReserveShare, for one that does not fit yet.
+// free for the first one that does not fit yet, in turns of limited length.
 func (c *cell) placeGang(s *stage) {
 	c.unreserve(s)
 	if s.waiting < len(s.tasks) {
@@ -41,7 +42,7 @@
 	if s.advised() {
 		plan, whole = c.planGang(s, func(*worker) bool { return true })
 	}
-	if whole || c.reservedCPU < int64(gangReserveShare*float64(c.capacityCPU)) {
+	if len(plan) > 0 && c.mayReserve(s, whole) {
 		c.reserve(s, plan)
 	}
 	c.requestAdvice(s)
@@ -62,6 +63,8 @@
 // startGang starts the tasks of a gang according to a plan.
 func (c *cell) startGang(s *stage, plan []allocation) {
 	c.dirty = true
+	c.endTurn(s)
+	s.turn = gangTurn{}
 	s.gangRun = c.nextRunNumber(s.gangRun)
 	i := 0
 	for _, p := range plan {
@@ -121,6 +124,7 @@
 		return
 	}
 	s.reserved, s.reservedUntil = plan, 0
+	s.turn.lastReserved = c.now
 	need := s.step.charge()
 	for _, p := range plan {
 		p.worker.reserved.addScaled(need, p.tasks)
--- a/scheduler/headroom.go
+++ b/scheduler/headroom.go
@@ -13,13 +13,16 @@
 	// headroomSlack is the slack below which a stage may use the headroom too, so
 	// that it does not make batch work late.
 	headroomSlack = 4 * time.Second
+	// maxHeadroomWait is the longest time for which a stage leaves the headroom free,
+	// whatever its estimate says.
+	maxHeadroomWait = 8 * time.Second
 )
 
 // withinHeadroom returns the number of waiting tasks of a stage that may start
 // without using the headroom that it must leave free.
 func (c *cell) withinHeadroom(s *stage) int {
 	need := s.step.charge().MilliCPU
-	if need == 0 || s.latestStart.Sub(c.now) < headroomSlack {
+	if need == 0 || s.step.LongRunning || s.latestStart.Sub(c.now) < headroomSlack || c.now.Sub(s.readyAt) >= maxHeadroomWait {
 		return s.waiting
 	}
 	available := c.freeCPU - int64(headroomShare*float64(c.capacityCPU))
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -63,7 +63,9 @@
 	// scheduling pass, or until reservedUntil while its tickets are being requested.
 	reserved      []allocation
 	reservedUntil Time
-	advice        advice
+	// turn is the state of a gang's reservations.
+	turn   gangTurn
+	advice advice
 	// runsPerWorker counts the stage's runs on each worker. It is only kept if
 	// MaxPerWorker is set.
 	runsPerWorker map[*worker]int
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -8,8 +8,12 @@
 )
 
 const (
-	// maxStagesPerPass bounds the number of stages that one pass tries to place.
-	maxStagesPerPass = 300
+	// maxStagesPerPass bounds the number of stages that one pass tries to place in the
+	// order of the ready list. rotatingStagesPerPass is the number of further ones, which
+	// are others in each pass, so that stages that do not fit do not keep those behind
+	// them from being tried.
+	maxStagesPerPass      = 300
+	rotatingStagesPerPass = 50
 	// passInterval is the minimum time between two passes. Under load several
 	// events share one pass; it delays a job by at most this long.
 	passInterval = 8 * msec
@@ -48,16 +52,8 @@
 	c.releaseReserved()
 	c.refreshFleet()
 	c.examined = 0
-	first := 0
-	if c.passes%lateFirstPasses != 0 {
-		first = c.firstOnTime()
-	}
-	for _, s := range c.ready[first:] {
-		c.placeStage(s)
-	}
-	for _, s := range c.ready[:first] {
-		c.placeStage(s)
-	}
+	c.placeFirst()
+	c.placeReady()
 	c.ready = slices.DeleteFunc(c.ready, func(s *stage) bool {
 		if s.waiting == 0 || s.job.isEnding() {
 			s.queued = false
@@ -67,6 +63,24 @@
 	})
 }
 
+// placeReady places the stages of the ready list, usually those that are on time first.
+func (c *cell) placeReady() {
+	ready, first := c.ready, 0
+	if c.passes%lateFirstPasses != 0 {
+		first = c.firstOnTime()
+	}
+	n := len(ready)
+	next := 0
+	for ; next < n && c.examined < maxStagesPerPass; next++ {
+		c.placeStage(ready[(first+next)%n])
+	}
+	rest := n - next
+	for k := 0; k < rest && c.examined < maxStagesPerPass+rotatingStagesPerPass; k++ {
+		c.rotation++
+		c.placeStage(ready[(first+next+c.rotation%rest)%n])
+	}
+}
+
 // firstOnTime returns the index of the first ready stage that can still meet its
 // objective.
 //
@@ -78,12 +92,10 @@
 
 // placeStage starts the tasks of a stage that fit.
 func (c *cell) placeStage(s *stage) {
-	if s.waiting == 0 || s.job.isEnding() || !c.maxFree.fits(s.step.charge()) && len(s.reserved) == 0 {
-		return
-	}
-	if c.examined++; c.examined > maxStagesPerPass {
+	if s.waiting == 0 || s.job.isEnding() || !s.step.LongRunning && !c.maxFree.fits(s.step.charge()) && len(s.reserved) == 0 {
 		return
 	}
+	c.examined++
 	// A job whose acceptance is not durable yet is placed too. Its start orders are
 	// sent once both are in the log, so that a slow store delays the job by one
 	// write instead of two.
@@ -198,7 +210,7 @@
 
 // workersWithRoom returns the workers that may have room for a task of a stage.
 func (c *cell) workersWithRoom(s *stage) []*worker {
-	if s.step.charge().MilliCPU == 0 {
+	if s.step.charge().MilliCPU == 0 || s.step.LongRunning {
 		return c.fleet
 	}
 	return c.fleetWithRoom
--- a/scheduler/rack.go
+++ b/scheduler/rack.go
@@ -10,6 +10,8 @@
 	// of the time that a task would lose on another one. A full rack usually stays
 	// full for the duration of its tasks, so waiting longer rarely pays.
 	rackWaitRatio = 0.5
+	// maxRackWait bounds this wait, whatever the estimate of a task's duration says.
+	maxRackWait = 8 * time.Second
 	// defaultRemotePenalty is the factor by which a task takes longer away from
 	// its data or its gang's rack, unless the deployment sets one.
 	defaultRemotePenalty = 2.0
@@ -23,7 +25,8 @@
 		penalty = defaultRemotePenalty
 	}
 	penaltyTime := time.Duration((penalty - 1) * float64(c.expectedDuration(s)))
-	return c.now.Sub(s.readyAt) < time.Duration(rackWaitRatio*float64(penaltyTime))
+	wait := min(time.Duration(rackWaitRatio*float64(penaltyTime)), maxRackWait)
+	return !s.step.LongRunning && c.now.Sub(s.readyAt) < wait
 }
 
 // rackAllows reports whether the location of a stage's data permits a worker: one
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -91,9 +91,15 @@
 func (c *cell) addRun(w *worker, r *run) {
 	w.runs[runKey{r.id, r.number}] = r
 	w.used.add(r.charge)
+	if r.isLongRunning() {
+		w.longRunning.add(r.charge)
+	}
 	c.chargedBytes += runBytes
 }
 
+// isLongRunning reports whether the run is of a task that runs until its job is cancelled.
+func (r *run) isLongRunning() bool { return r.task != nil && r.task.stage.step.LongRunning }
+
 // sendStart sends the start order of a run.
 func (c *cell) sendStart(r *run, ticket string) {
 	w, t := r.worker, r.task
@@ -261,6 +267,9 @@
 	}
 	delete(r.worker.runs, runKey{r.id, r.number})
 	r.worker.used.sub(r.charge)
+	if r.isLongRunning() {
+		r.worker.longRunning.sub(r.charge)
+	}
 	c.chargedBytes -= runBytes
 	if r.task != nil {
 		r.task.stage.countRun(r.worker, -1)
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -64,6 +64,9 @@
 	// adviceAllows reports whether a worker may run a step. adviceGood decides if it
 	// is nil.
 	adviceAllows func(step string, id WorkerID) bool
+	// runTime returns how long the tasks of a job run. They run for their estimate if it
+	// is nil.
+	runTime func(JobID) time.Duration
 }
 
 // scheduledAction is a function that runs at a time. order breaks ties.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -111,7 +111,9 @@
 	notedEnd, durableEnd, acknowledgedEnd int64
 	runs                                  map[runKey]*run
 	used                                  Resources
-	hold                                  holdState
+	// longRunning is the part of used that long-running tasks take.
+	longRunning Resources
+	hold        holdState
 	// agent is the host that makes the calls to the worker, nil for this host.
 	agent  *peer
 	health health
