Bound the orders to a worker and the size of the log by the memory

Cause: such tasks all fit on a worker, so all start orders were sent at once, each with a goroutine and a request, and a worker's report of tens of thousands of runs takes far more memory than the runs themselves.

The charge for a run covers its part of a report. The encoded size of all open jobs is bounded, because it decides how long a successor reads, and the read of the log may take 15 s instead of 4 s.

--- a/scheduler/call.go
+++ b/scheduler/call.go
@@ -60,6 +60,8 @@
 	// generation is the generation of the cell at that time.
 	cell       *cell
 	generation int64
+	// worker is the worker that an order goes to, or nil for other calls.
+	worker *worker
 }
 
 // callTable holds the calls whose results are outstanding.
@@ -110,6 +112,9 @@
 // settleCall removes a call from the table and handles its result.
 func (r *Reducer) settleCall(id CallID, p pendingCall, res Result) {
 	delete(r.calls.pending, id)
+	if p.worker != nil {
+		p.worker.ordersInFlight--
+	}
 	switch res := res.(type) {
 	case LogRead:
 		r.handleLogRead(res)
@@ -122,6 +127,9 @@
 			p.cell.handleResult(id, res)
 		}
 	}
+	if p.worker != nil && p.cell == r.cell {
+		p.cell.sendQueuedOrders(p.worker)
+	}
 }
 
 // handleResult handles the result of a call of the cell.
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -18,7 +18,9 @@
 	jobList []*job
 	// chargedBytes is the memory that is charged for jobs, runs and advice.
 	chargedBytes int64
-	budget       memoryBudget
+	// chargedText is the encoded size of the open jobs.
+	chargedText int64
+	budget      memoryBudget
 	// tickets is the number of the advice service's answers that are kept.
 	tickets int
 	workers map[WorkerID]*worker
@@ -56,7 +58,7 @@
 	// pendingStarts are starts that are to be logged. pendingOrders send their
 	// orders once they are durable.
 	pendingStarts []StartRecord
-	pendingOrders []func()
+	pendingOrders []plannedOrder
 	// maxFree is the largest amount of each resource that is free on any worker.
 	maxFree    Resources
 	lastPassAt Time
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -37,6 +37,9 @@
 	// chargedBytes is the memory that is charged for the job, specBytes that of its
 	// specification and occurrenceBytes that of an open occurrence.
 	chargedBytes, specBytes, occurrenceBytes int64
+	// chargedText is the size that is charged for the job in the log, textBytes the
+	// encoded size of its specification.
+	chargedText, textBytes int64
 }
 
 // stage is a step of an occurrence.
@@ -128,7 +131,7 @@
 func (c *cell) addJob(id JobID, queue QueueName, spec *JobSpec, accepted int64) *job {
 	j := &job{id: id, queue: queue, policy: c.queue(queue), spec: spec, acceptedWall: accepted}
 	j.acceptedAt = c.now.Add(-time.Duration(max(0, c.wall-accepted)) * msec)
-	j.specBytes, j.occurrenceBytes = specBytes(spec), occurrenceCharge(spec)
+	j.specBytes, j.occurrenceBytes, j.textBytes = specBytes(spec), occurrenceCharge(spec), int64(spec.estimatedSize())
 	if len(spec.Steps) > 0 && spec.Repeat == 0 {
 		c.createThrough(j, 0)
 	}
@@ -256,6 +259,7 @@
 		if j.reported.isTerminal() && c.wall-j.endedWall > c.limits.StatusRetention.Milliseconds()+retentionToleranceMS {
 			delete(c.jobs, j.id)
 			c.chargedBytes -= j.chargedBytes
+			c.chargedText -= j.chargedText
 			continue
 		}
 		keep = append(keep, j)
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -39,6 +39,7 @@
 		{"used_cpu", used.MilliCPU}, {"capacity_cpu", capacity.MilliCPU},
 		{"used_mem", used.MemoryMB}, {"capacity_mem", capacity.MemoryMB},
 		{"ready_stages", int64(len(c.ready))}, {"late_stages", late}, {"waiting_tasks", waiting},
+		{"charged_bytes", c.chargedBytes}, {"tickets", int64(c.tickets)},
 		{"reserved_cpu", c.reservedCPU}, {"advice_calls", calls}, {"advisers_busy", busy}, {"advisers", int64(len(c.peers))},
 	}})
 }
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -162,7 +162,7 @@
 	if len(l.pending) == 0 || due < l.dueAt {
 		l.dueAt = due
 	}
-	l.bytes += rec.memoryBytes()
+	l.bytes += rec.logBytes()
 	if l.mergeEnds(rec) {
 		return
 	}
@@ -399,7 +399,7 @@
 			parts = nil
 			c.applyRecords(g.Records)
 			for i := range g.Records {
-				c.log.bytes += g.Records[i].memoryBytes()
+				c.log.bytes += g.Records[i].logBytes()
 			}
 			continue
 		case g.Snapshot == 1:
@@ -412,7 +412,7 @@
 		}
 		if g.SnapshotLast {
 			c.jobs, c.jobList, c.workers, c.workersByID = map[JobID]*job{}, nil, map[WorkerID]*worker{}, nil
-			c.chargedBytes, c.log.bytes = 0, 0
+			c.chargedBytes, c.chargedText, c.log.bytes = 0, 0, 0
 			for _, p := range parts {
 				c.applyRecords(p.Records)
 			}
--- a/scheduler/memory.go
+++ b/scheduler/memory.go
@@ -25,8 +25,9 @@
 	occurrenceBytes, stageBytes = 256, 448
 	// taskBytes covers a task and its end in a snapshot.
 	taskBytes = 240
-	// runBytes covers a run with its start in the log and in a snapshot.
-	runBytes = 560
+	// runBytes covers a run with its start in the log and in a snapshot, and its part of
+	// a worker's report while that is decoded.
+	runBytes = 1536
 	// recordBytes covers a record of the log without its lists and specification,
 	// openBytes, startBytes and endBytes an element of them.
 	recordBytes, openBytes, startBytes, endBytes = 384, 16, 96, 128
@@ -45,6 +46,9 @@
 	// logMemoryShare is the share of a host's memory for the log that was written
 	// since the last snapshot, which a successor reads in addition to the state.
 	logMemoryShare = 0.06
+	// logTextShare is the ratio of the encoded size of all jobs in the log to a host's
+	// memory. It bounds the time in which a successor reads them.
+	logTextShare = 0.10
 	// adviceMemoryShare is the share of the state for answers of the advice service.
 	adviceMemoryShare = 0.12
 	// memoryRetryAfter is the retry delay for a job that does not fit beside the others
@@ -58,8 +62,9 @@
 	// jobs bounds the sum of charges up to which jobs are accepted, state the sum up
 	// to which runs start and occurrences beyond the reserved ones open.
 	jobs, state int64
-	// log bounds the records since the last snapshot.
-	log int64
+	// log bounds the records since the last snapshot, text the encoded size of the
+	// accepted jobs.
+	log, text int64
 	// tickets bounds the number of the advice service's answers.
 	tickets int
 }
@@ -67,12 +72,12 @@
 // newMemoryBudget returns the budget for the memory of a host.
 func newMemoryBudget(memoryBytes int64) memoryBudget {
 	if memoryBytes == 0 {
-		return memoryBudget{jobs: math.MaxInt64, state: math.MaxInt64, log: math.MaxInt64, tickets: math.MaxInt}
+		return memoryBudget{jobs: math.MaxInt64, state: math.MaxInt64, log: math.MaxInt64, text: math.MaxInt64, tickets: math.MaxInt}
 	}
 	state := stateMemoryShare * float64(memoryBytes)
 	return memoryBudget{
 		jobs: int64(jobMemoryShare * state), state: int64((1 - adviceMemoryShare) * state),
-		log: int64(logMemoryShare * float64(memoryBytes)), tickets: int(adviceMemoryShare * state / ticketBytes),
+		log: int64(logMemoryShare * float64(memoryBytes)), text: int64(logTextShare * float64(memoryBytes)), tickets: int(adviceMemoryShare * state / ticketBytes),
 	}
 }
 
@@ -134,6 +139,12 @@
 	}
 	c.chargedBytes += n - j.chargedBytes
 	j.chargedBytes = n
+	text := int64(0)
+	if !j.reported.isTerminal() {
+		text = j.textBytes
+	}
+	c.chargedText += text - j.chargedText
+	j.chargedText = text
 }
 
 // hasMemoryFor reports whether the state may grow by an occurrence.
@@ -141,16 +152,20 @@
 
 // refuseForMemory returns the refusal of a job that does not fit into the memory, or nil.
 func (c *cell) refuseForMemory(spec *JobSpec) *Answer {
-	charge := jobCharge(spec)
+	charge, text := jobCharge(spec), int64(spec.estimatedSize())
 	switch {
-	case charge > c.budget.jobs:
+	case charge > c.budget.jobs || text > c.budget.text:
 		return &Answer{Status: StatusInvalid, Reason: ReasonTooLargeForMemory}
-	case c.chargedBytes+charge > c.budget.jobs:
+	case c.chargedBytes+charge > c.budget.jobs || c.chargedText+text > c.budget.text:
 		return &Answer{Status: StatusRefused, Reason: ReasonMemory, RetryAfter: memoryRetryAfter}
 	}
 	return nil
 }
 
+// logBytes returns the memory or the encoded size of a record of the log, whichever is
+// larger.
+func (r *Record) logBytes() int64 { return max(r.memoryBytes(), int64(r.estimatedSize())) }
+
 // memoryBytes returns the memory of a record that was read from the log.
 func (r *Record) memoryBytes() int64 {
 	n := int64(recordBytes + openBytes*len(r.Open) + startBytes*len(r.Starts) + endBytes*len(r.Ends))
--- a/scheduler/owner.go
+++ b/scheduler/owner.go
@@ -28,8 +28,11 @@
 	lowCPUClaimDelay = 500 * msec
 	// claimRetryDelay is the delay after a failed claim or a failed read of the log.
 	claimRetryDelay = 300 * msec
-	// claimTimeout bounds the read of the log and the claim, each.
-	claimTimeout = 4 * time.Second
+	// claimTimeout bounds a claim, logReadTimeout the read of the log before it. A host
+	// with a fifth of a core takes several seconds for the longest log that jobs are
+	// admitted to.
+	claimTimeout   = 4 * time.Second
+	logReadTimeout = 15 * time.Second
 )
 
 // phase is the phase of a host in the takeover of the ownership.
@@ -166,7 +169,7 @@
 func (r *Reducer) readLog() {
 	o := &r.owner
 	o.phase, o.attemptStarted, o.claimAt = phaseReading, r.now, 0
-	o.attempt = r.call(ReadLog{From: 1}, claimTimeout)
+	o.attempt = r.call(ReadLog{From: 1}, logReadTimeout)
 }
 
 // handleLogRead restores the state from the log and claims the ownership.
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -52,7 +52,7 @@
 		w.throttlePercent, w.throttledAt = max(0, w.throttlePercent-paceStepPercent), c.now
 	}
 	for _, r := range scavenging {
-		if r.throttlePercent != w.throttlePercent && r.paceCall == 0 && c.mayExtendWorkerLeases() {
+		if r.throttlePercent != w.throttlePercent && r.paceCall == 0 && w.hasOrderSlot() && c.mayExtendWorkerLeases() {
 			c.sendPace(r, w.throttlePercent)
 		}
 	}
@@ -61,10 +61,10 @@
 // sendPace orders a worker to throttle a run.
 func (c *cell) sendPace(r *run, throttlePercent int) {
 	w := r.worker
-	r.paceCall = c.call(PaceTask{
+	r.paceCall = c.order(w, PaceTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Percent: fullPacePercent - throttlePercent,
 		Token: c.generation, Via: c.agentFor(w),
-	}, workerCallTimeout)
+	})
 	c.logDecision(Decision{Kind: "pace", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
 		Fields: []Field{{"percent", int64(fullPacePercent - throttlePercent)}}})
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -31,7 +31,7 @@
 	s := t.stage
 	c.pendingStarts = append(c.pendingStarts, StartRecord{s.occ.index, s.index, t.index, number, w.info.ID})
 	incarnation := w.incarnation
-	c.pendingOrders = append(c.pendingOrders, func() {
+	c.pendingOrders = append(c.pendingOrders, plannedOrder{w, func() {
 		if w.runs[runKey{r.id, r.number}] != r || r.state != runPlanned {
 			return
 		}
@@ -42,7 +42,13 @@
 		r.state = runStarting
 		r.orderedAt = c.now
 		c.sendStart(r, ticket)
-	})
+	}})
+}
+
+// plannedOrder sends the order of a start to a worker once the start is durable.
+type plannedOrder struct {
+	worker *worker
+	send   func()
 }
 
 // recordStarts logs the starts of a job that were planned since the last call,
@@ -57,8 +63,8 @@
 	orders := c.pendingOrders
 	c.pendingStarts, c.pendingOrders = nil, nil
 	c.whenDurable(func() {
-		for _, f := range orders {
-			f()
+		for _, o := range orders {
+			c.whenOrderSlot(o.worker, o.send)
 		}
 	})
 }
@@ -103,11 +109,11 @@
 // sendStart sends the start order of a run.
 func (c *cell) sendStart(r *run, ticket string) {
 	w, t := r.worker, r.task
-	c.call(StartTask{
+	c.order(w, StartTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Payload: t.stage.job.spec.Payload,
 		Deadline: c.grantLease(w), Token: c.generation, Checkpoint: t.checkpoint, Ticket: ticket,
 		Via: c.agentFor(w),
-	}, workerCallTimeout)
+	})
 	c.logDecision(Decision{Kind: "start", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID,
 		Run: r.number, Queue: t.stage.job.queue, Fields: []Field{
 			{"waited_ms", c.now.Sub(t.stage.readyAt).Milliseconds()},
@@ -212,14 +218,24 @@
 
 // sendStop sends the stop order of a run, once.
 func (c *cell) sendStop(r *run) {
-	if r.stopSent || !c.mayExtendWorkerLeases() {
+	if r.stopQueued {
 		return
 	}
+	r.stopQueued = true
+	c.whenOrderSlot(r.worker, func() {
+		r.stopQueued = false
+		if !r.stopSent && r.worker.runs[runKey{r.id, r.number}] == r && c.mayExtendWorkerLeases() {
+			c.sendStopNow(r)
+		}
+	})
+}
+
+func (c *cell) sendStopNow(r *run) {
 	r.stopSent = true
 	w := r.worker
-	r.stopCall = c.call(StopTask{
+	r.stopCall = c.order(w, StopTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Token: c.generation, Via: c.agentFor(w),
-	}, workerCallTimeout)
+	})
 	c.logDecision(Decision{Kind: "stop", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
 		Fields: []Field{{"in_doubt", boolField(r.state == runInDoubt)}}})
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -68,8 +68,10 @@
 	mustStop      bool
 	stopSent      bool
 	stopConfirmed bool
-	// stopCall is the stop order that is in flight, or 0.
+	// stopCall is the stop order that is in flight, or 0. stopQueued means that it waits
+	// to be sent.
 	stopCall       CallID
+	stopQueued     bool
 	missingReports int
 	checkpoint     string
 	// expectedDuration is the task's predicted duration at the start.
@@ -114,6 +116,10 @@
 	// longRunning is the part of used that long-running tasks take.
 	longRunning Resources
 	hold        holdState
+	// ordersInFlight is the number of orders that await their results. queuedOrders send
+	// further ones.
+	ordersInFlight int
+	queuedOrders   []func()
 	// agent is the host that makes the calls to the worker, nil for this host.
 	agent  *peer
 	health health
