Call the end of a gang's turn an expiry

A newcomer's reading of the change: "in vain" is no term of the field. The decision in the log is now "gang turn_expired". No behaviour changes; lint and the scheduler's tests pass.

--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -47,7 +47,7 @@
 	reservingGangs           []*stage
 	reservedCPU, capacityCPU int64
 	// first is the gang that is placed before everything else. turnsPausedUntil is when
-	// gangs that do not fit may reserve capacity again after a turn in vain.
+	// gangs that do not fit may reserve capacity again after a turn has expired.
 	first            firstPlaced
 	turnsPausedUntil Time
 	// freeCPU is the sum of free processors on the workers that have at least
--- a/scheduler/turn.go
+++ b/scheduler/turn.go
@@ -4,7 +4,7 @@
 
 // Capacity that is reserved for a gang lies idle until the gang fits. Without a bound a
 // gang that cannot fit, for example beside long-running tasks, keeps all other work from
-// the idle capacity. Reservations are therefore made in turns: a turn that ends in vain is
+// the idle capacity. Reservations are therefore made in turns: a turn that expires is
 // followed by a pause, in which the gang reserves nothing.
 //
 // Work that is more urgent, or whose estimate is lower, takes capacity before a gang gets
@@ -19,13 +19,13 @@
 	crowdedShare = 0.6
 	// orderedTurn is the longest turn of a gang that is placed in its order.
 	orderedTurn = 10 * time.Second
-	// turnPause is the pause of all gangs that do not fit after a turn in vain.
+	// turnPause is the pause of all gangs that do not fit after a turn has expired.
 	turnPause = 4 * time.Second
 	// gangPatience is the wait after which a gang may be placed first.
 	gangPatience = 15 * time.Second
 	// firstTurn is the length of the first turn in which a gang is placed first. Urgent
-	// tasks have to start within 4 s, so it is no longer. It doubles with each turn in
-	// vain, up to maxFirstTurn, so that longer tasks can end within it.
+	// tasks have to start within 4 s, so it is no longer. It doubles with each turn that
+	// expires, up to maxFirstTurn, so that longer tasks can end within it.
 	firstTurn    = 4 * time.Second
 	maxFirstTurn = 16 * time.Second
 	// ticketTurn is how much longer the turn of a gang takes that waits only for its
@@ -45,8 +45,8 @@
 	idleSince Time
 	// pausedUntil is when the gang may reserve again.
 	pausedUntil Time
-	// inVain is the number of turns in vain in which the gang was placed first.
-	inVain int
+	// expiredTurns is the number of expired turns in which the gang was placed first.
+	expiredTurns int
 }
 
 // firstPlaced is the gang that is placed before everything else.
@@ -77,7 +77,7 @@
 		t.idleSince = c.now
 	}
 	if t.idleSince != 0 && c.now.Sub(t.idleSince) >= idleTurn || !first && c.now.Sub(t.since) >= orderedTurn {
-		c.endTurnInVain(s)
+		c.expireTurn(s)
 		return false
 	}
 	return true
@@ -86,17 +86,17 @@
 // tickTolerance covers the time between two ticks, each of which begins a pass.
 const tickTolerance = 100 * msec
 
-// endTurnInVain ends the turn of a gang that has not started.
-func (c *cell) endTurnInVain(s *stage) {
+// expireTurn ends the turn of a gang that has not started in it, and begins its pause.
+func (c *cell) expireTurn(s *stage) {
 	t := &s.turn
 	length := c.now.Sub(t.since)
 	t.pausedUntil = c.now.Add(max(turnPause, pauseRatio*length))
 	t.since, t.idleSince = 0, 0
 	c.turnsPausedUntil = c.now.Add(turnPause)
-	c.logDecision(Decision{Kind: "gang", Outcome: "turn_in_vain", Job: s.job.id, Task: s.stepName(), Queue: s.job.queue, Fields: []Field{
+	c.logDecision(Decision{Kind: "gang", Outcome: "turn_expired", Job: s.job.id, Task: s.stepName(), Queue: s.job.queue, Fields: []Field{
 		{"turn_ms", length.Milliseconds()}, {"tasks", int64(len(s.tasks))}, {"first", boolField(c.first.gang == s)}}})
 	if c.first.gang == s {
-		t.inVain++
+		t.expiredTurns++
 	}
 	c.endTurn(s)
 }
@@ -117,7 +117,7 @@
 		case g.waiting == 0 || !g.queued || g.job.isEnding():
 			c.endTurn(g)
 		case c.now >= c.first.until.Add(ticketTurn), c.now >= c.first.until && plannedTasks(g.reserved) < len(g.tasks):
-			c.endTurnInVain(g)
+			c.expireTurn(g)
 		}
 	}
 	if c.first.gang == nil && c.now >= c.turnsPausedUntil {
@@ -125,7 +125,7 @@
 			if s.step.Gang && c.now.Sub(s.readyAt) >= gangPatience && c.now >= s.turn.pausedUntil && c.fitsWithoutOthers(s) {
 				s.turn.since, s.turn.idleSince = c.now, 0
 				s.turn.lastReserved = c.now
-				c.first = firstPlaced{s, c.now.Add(min(firstTurn<<min(s.turn.inVain, 8), maxFirstTurn))}
+				c.first = firstPlaced{s, c.now.Add(min(firstTurn<<min(s.turn.expiredTurns, 8), maxFirstTurn))}
 				break
 			}
 		}
