Move the host processes of the memory test to a package of their own

The tests of clients that do not behave need the same processes. The checks of TestHostsStayWithinTheirMemory are unchanged.

--- a/integration/hostmemory/memory_test.go
+++ b/integration/hostmemory/memory_test.go
@@ -5,21 +5,16 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
 	"banyanrun.example/banyanrun/integration/cluster"
+	"banyanrun.example/banyanrun/integration/testhosts"
 	"banyanrun.example/banyanrun/platform/emulator"
 )
 
@@ -35,131 +30,6 @@
 	waitTimeout = 60 * time.Second
 )
 
-// process is a host process.
-type process struct {
-	t       *testing.T
-	binary  string
-	env     []string
-	callers string
-	cmd     *exec.Cmd
-	log     *os.File
-}
-
-func (p *process) start() {
-	cmd := exec.Command(p.binary, "--metrics-port", "0")
-	cmd.Env, cmd.Stdout, cmd.Stderr = p.env, p.log, p.log
-	// The process must not outlive the test.
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	p.cmd = cmd
-}
-
-// kill kills the process and returns the greatest memory that it has had, in MB.
-func (p *process) kill() int {
-	peak := p.peakMB()
-	if err := p.cmd.Process.Kill(); err != nil {
-		p.t.Errorf("kill: %v", err)
-	}
-	// The error says that the process was killed.
-	_ = p.cmd.Wait()
-	return peak
-}
-
-func (p *process) peakMB() int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	_, rest, found := strings.Cut(string(text), "VmHWM:")
-	var kilobytes int
-	if _, err := fmt.Sscan(rest, &kilobytes); !found || err != nil {
-		p.t.Fatalf("no memory of process %d: %v", p.cmd.Process.Pid, err)
-	}
-	return kilobytes / 1024
-}
-
-// call sends a request to the process and returns the status, or 0 without a response.
-func (p *process) call(method, path, body string) (status int, retryAfter string) {
-	req, err := emulator.NewRequest(method, p.callers, path, body, 3*time.Second)
-	if err != nil {
-		p.t.Error(err)
-		return 0, ""
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, resp.Header.Get("Retry-After")
-}
-
-// startHosts starts hosts on an emulated platform.
-func startHosts(t *testing.T, binary string) []*process {
-	emulated, err := emulator.Start(emulator.Config{Workers: 2, Seed: 1})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		for _, violation := range emulated.Close() {
-			t.Errorf("at the workers: %s", violation)
-		}
-	})
-	emulated.Post(emulator.Event{PutKey: "op/config", PutValue: []byte(emulator.TestConfiguration)})
-	var list []*process
-	for i := range hosts {
-		ports := freePorts(t, 3)
-		address := func(port int) string { return net.JoinHostPort(emulator.TestIP(), fmt.Sprint(port)) }
-		settings := emulator.HostSettings{
-			Name: fmt.Sprintf("host-%d", i), IP: emulator.TestIP(), Callers: address(ports[0]), Ready: address(ports[1]), PeerPort: ports[2],
-			Advice: emulated.AdviceAddress(), Store: emulated.StoreAddress(), MemoryMB: memoryMB,
-		}
-		file := filepath.Join(t.TempDir(), "settings.yaml")
-		if err := os.WriteFile(file, []byte(settings.FileText()), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		log, err := os.Create(filepath.Join(t.TempDir(), "log"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		p := &process{t: t, binary: binary, env: append(os.Environ(), "BANYANRUN_NODE_FILE="+file), callers: settings.Callers, log: log}
-		p.start()
-		t.Cleanup(func() {
-			if t.Failed() {
-				t.Logf("end of the log of %s:\n%s", settings.Name, endOf(t, log.Name()))
-			}
-		})
-		list = append(list, p)
-	}
-	return list
-}
-
-// endOf returns the end of a file.
-func endOf(t *testing.T, name string) string {
-	text, err := os.ReadFile(name)
-	if err != nil {
-		t.Error(err)
-	}
-	return string(text[max(0, len(text)-3000):])
-}
-
-func freePorts(t *testing.T, n int) []int {
-	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", net.JoinHostPort(emulator.TestIP(), "0"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
-}
-
 // steps returns n steps of one task that change modifies.
 func steps(n int, change func(i int, s map[string]any)) []map[string]any {
 	list := make([]map[string]any, n)
@@ -210,7 +80,7 @@
 
 // submitAll lets callers submit a job under different names. It returns the names that
 // were accepted and the number of refusals.
-func submitAll(t *testing.T, list []*process, body string) (accepted []string, refused int64) {
+func submitAll(t *testing.T, list []*testhosts.Process, body string) (accepted []string, refused int64) {
 	var next, refusals atomic.Int64
 	results := make([][]string, callers)
 	began := time.Now()
@@ -219,7 +89,7 @@
 		wg.Go(func() {
 			for n := next.Add(1); n <= maxJobs && time.Since(began) < submitTime; n = next.Add(1) {
 				path := fmt.Sprintf("%s%016x", emulator.BatchQueue, n)
-				switch status, retryAfter := list[int(n)%len(list)].call(http.MethodPost, path, body); status {
+				switch status, retryAfter := list[int(n)%len(list)].Call(http.MethodPost, path, body); status {
 				case http.StatusOK:
 					results[i] = append(results[i], path)
 				case http.StatusTooManyRequests:
@@ -239,10 +109,10 @@
 }
 
 // waitForJob waits until a host gives the state of an accepted job.
-func waitForJob(t *testing.T, list []*process, path string) {
+func waitForJob(t *testing.T, list []*testhosts.Process, path string) {
 	for deadline := time.Now().Add(waitTimeout); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		for _, p := range list {
-			switch status, _ := p.call(http.MethodGet, path, ""); status {
+			switch status, _ := p.Call(http.MethodGet, path, ""); status {
 			case http.StatusOK:
 				return
 			case http.StatusGone:
@@ -264,9 +134,9 @@
 	}
 	for name, body := range extremeJobs(t) {
 		t.Run(name, func(t *testing.T) {
-			list := startHosts(t, binary)
+			list := testhosts.Start(t, testhosts.Config{Binary: binary, Hosts: hosts, Workers: 2, MemoryMB: memoryMB})
 			for i := 0; ; i++ {
-				if status, _ := list[0].call(http.MethodPost, emulator.UrgentQueue+"ffffffffffffffff", extremeJobs(t)["many small"]); status == http.StatusOK {
+				if status, _ := list[0].Call(http.MethodPost, emulator.UrgentQueue+"ffffffffffffffff", extremeJobs(t)["many small"]); status == http.StatusOK {
 					break
 				}
 				if time.Sleep(100 * time.Millisecond); i > 300 {
@@ -276,8 +146,9 @@
 			accepted, refused := submitAll(t, list, body)
 			peak := 0
 			for _, p := range list {
-				peak = max(peak, p.kill())
-				p.start()
+				peak = max(peak, p.PeakMemoryMB())
+				p.Kill()
+				p.Start()
 				if len(accepted) > 0 {
 					waitForJob(t, list, accepted[0])
 				}
@@ -286,7 +157,7 @@
 				waitForJob(t, list, accepted[i])
 			}
 			for _, p := range list {
-				peak = max(peak, p.kill())
+				peak = max(peak, p.PeakMemoryMB())
 			}
 			t.Logf("%d jobs accepted, %d refused; the largest host took %d of %d MB", len(accepted), refused, peak, memoryMB)
 			if len(accepted) == 0 {
