--- a/entry/logsampling.go
+++ b/entry/logsampling.go
@@ -6,6 +6,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+
+	"banyanrun.example/banyanrun/internal/loglimit"
 )
 
 // Limits on log lines with the same message, so that many requests or failures do
@@ -38,9 +40,7 @@
 			return sampled
 		}
 	}
-	sampled := log.Sample(&countingSampler{
-		next: &zerolog.BurstSampler{Burst: logBurst, Period: logPeriod}, dropped: dropped,
-	})
+	sampled := loglimit.New(log, logBurst, logPeriod, dropped)
 	if l.byMessage == nil {
 		l.byMessage = map[string]zerolog.Logger{}
 	}
@@ -48,21 +48,6 @@
 	return sampled
 }
 
-// countingSampler counts the lines that another sampler drops.
-type countingSampler struct {
-	next    zerolog.Sampler
-	dropped *metrics.Counter
-}
-
-// Sample implements zerolog.Sampler.
-func (s *countingSampler) Sample(level zerolog.Level) bool {
-	if s.next.Sample(level) {
-		return true
-	}
-	s.dropped.Inc()
-	return false
-}
-
 // limitedLogger returns the rate-limited logger for lines with the given message.
 func (d *Daemon) limitedLogger(message string) zerolog.Logger {
 	return d.logLimiter.loggerFor(message, d.log, d.metrics.GetOrCreateCounter("banyanrun_log_lines_dropped_total"))
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -33,7 +33,7 @@
 }
 
 // purePackages are the folders of the packages with reducers.
-var purePackages = []string{"core", "scheduler", "standin/store", "standin/worker"}
+var purePackages = []string{"core", "scheduler", "standin/store", "standin/worker", "internal/ingress/budget"}
 
 const module = "banyanrun.example/banyanrun/"
 
