Bound what the callers of a host hold

What callers saw: clients that send bodies of legal size and stop short of their end took a host over its memory, and it was killed; its callers lost their requests. Many connections took the descriptors that the host needs for the store, workers and other hosts.

Cause: nothing bounded the sum over all connections. A body was read to its end into a buffer that grew with it, with no deadline, and 16 KiB of short header lines took 250 KiB. The number of connections was bounded by the descriptors only.

Change: the callers' port is served through a gate (internal/ingress) with 16% of the host's memory and half of its descriptors. Its log lines are bounded.

TestOperationsPageListsTheMetrics also reads the metrics of package ingress.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,12 @@
 # Pattern of tests to skip. .ci/run runs them separately, see KNOWN-RED.txt.
 SKIP :=
 
+# Tests that measure the memory of processes run after the others, alone.
+MEASURED := ./integration/crowd
+
 test: ## run all tests with the race detector
-	go test -race -timeout 20m $(if $(SKIP),-skip '$(SKIP)') ./...
+	go test -race -timeout 20m $(if $(SKIP),-skip '$(SKIP)') $$(go list ./... | grep -v -F '$(MEASURED:.%=%)')
+	go test -race -timeout 20m -count=1 $(if $(SKIP),-skip '$(SKIP)') $(MEASURED)
 
 lint: ## check formatting, vet and staticcheck
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); echo "files above need gofmt"; exit 1; }
--- a/cmd/banyanrun-host/main.go
+++ b/cmd/banyanrun-host/main.go
@@ -29,6 +29,7 @@
 type options struct {
 	NodeFile    string `long:"node-file" env:"BANYANRUN_NODE_FILE" required:"true" description:"settings file that the platform writes"`
 	MetricsPort int    `long:"metrics-port" env:"BANYANRUN_METRICS_PORT" default:"9464" description:"port of the metrics, 0 for none; they are also served on the address of the readiness check"`
+	MemoryMB    int    `long:"memory-mb" env:"BANYANRUN_MEMORY_MB" default:"512" description:"memory in MiB that bounds what clients may hold, if the settings file names no memory limit; at least 64"`
 	PeerListen  string `long:"peer-listen" env:"BANYANRUN_PEER_LISTEN" description:"address to listen on for other hosts, if a forwarder lies between it and the one in the settings file"`
 }
 
@@ -53,6 +54,9 @@
 	if opts.MetricsPort < 0 || opts.MetricsPort > maxPort {
 		return &platform.SettingsError{Setting: "metrics-port", Value: opts.MetricsPort, Allowed: "0 to 65535"}
 	}
+	if opts.MemoryMB < host.MinMemoryMB {
+		return &platform.SettingsError{Setting: "memory-mb", Value: opts.MemoryMB, Allowed: fmt.Sprintf("%d or more", host.MinMemoryMB)}
+	}
 	settings, err := platform.ReadSettings(opts.NodeFile)
 	if err != nil {
 		return err
@@ -62,7 +66,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	d := host.New(settings, os.Stdout, host.Options{MetricsPort: opts.MetricsPort, Seed: seed(settings.Host), PeerListen: opts.PeerListen})
+	d := host.New(settings, os.Stdout, host.Options{MetricsPort: opts.MetricsPort, Seed: seed(settings.Host), PeerListen: opts.PeerListen, MemoryMB: opts.MemoryMB})
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
--- a/host/caller.go
+++ b/host/caller.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
 	"strings"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/platform"
 	"banyanrun.example/banyanrun/scheduler"
 )
@@ -48,7 +49,7 @@
 	job := scheduler.JobID(strings.ToLower(id))
 	switch {
 	case r.Method == http.MethodGet && id == "":
-		platform.WritePending(w, d.serveRequest(r.Context(), kindPending, func(t scheduler.Token) scheduler.Event {
+		platform.WritePending(w, d.serveRequest(r, kindPending, func(t scheduler.Token) scheduler.Event {
 			return scheduler.PendingReceived{Token: t, Queue: queue, Deadline: deadline}
 		}))
 	case r.Method != http.MethodGet && r.Method != http.MethodPost && r.Method != http.MethodDelete:
@@ -61,11 +62,11 @@
 			Queue: queue, ConfigVersion: cfg.Scheduler.Version, Job: job, Deadline: deadline,
 		})
 	case r.Method == http.MethodDelete:
-		platform.WriteOutcome(w, d.serveRequest(r.Context(), kindCancel, func(t scheduler.Token) scheduler.Event {
+		platform.WriteOutcome(w, d.serveRequest(r, kindCancel, func(t scheduler.Token) scheduler.Event {
 			return scheduler.CancelReceived{Token: t, Job: job, Deadline: deadline}
 		}))
 	default:
-		platform.WriteState(w, d.serveRequest(r.Context(), kindStatus, func(t scheduler.Token) scheduler.Event {
+		platform.WriteState(w, d.serveRequest(r, kindStatus, func(t scheduler.Token) scheduler.Event {
 			return scheduler.StatusReceived{Token: t, Job: job, Deadline: deadline}
 		}))
 	}
@@ -73,41 +74,50 @@
 
 // serveSubmit reads a job from the request body and submits it.
 func (d *Daemon) serveSubmit(w http.ResponseWriter, r *http.Request, cfg *platform.Configuration, e scheduler.SubmitReceived) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cfg.MaxBodyBytes))
+	body, err := ingress.ReadBody(w, r, cfg.MaxBodyBytes)
 	if err != nil {
-		status := http.StatusBadRequest
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			status = http.StatusRequestEntityTooLarge
-		}
-		d.rejectRequest(w, e.Job, &platform.RequestError{Status: status, Message: "read the body: " + err.Error()})
+		d.rejectRequest(w, e.Job, fmt.Errorf("read the body: %w", err))
 		return
 	}
 	if e.Spec, err = platform.ParseJob(body); err != nil {
 		d.rejectRequest(w, e.Job, err)
 		return
 	}
-	platform.WriteOutcome(w, d.serveRequest(r.Context(), kindSubmit, func(t scheduler.Token) scheduler.Event {
+	platform.WriteOutcome(w, d.serveRequest(r, kindSubmit, func(t scheduler.Token) scheduler.Event {
 		e.Token = t
 		return e
 	}))
 }
 
-// rejectRequest responds to an invalid request with the status of its error.
+// rejectRequest responds to a request that is not passed on to the reducer, with the
+// status of its error.
 func (d *Daemon) rejectRequest(w http.ResponseWriter, job scheduler.JobID, err error) {
 	status := http.StatusBadRequest
 	var requestErr *platform.RequestError
-	if errors.As(err, &requestErr) {
+	var tooLong *http.MaxBytesError
+	var refused *ingress.RefusedError
+	switch {
+	case errors.As(err, &requestErr):
 		status = requestErr.Status
+	case errors.As(err, &tooLong):
+		status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &refused) && refused.TooLarge:
+		status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &refused):
+		d.clientLog.Info().Str("event", "request").Str("outcome", "unavailable").Str("reason", string(scheduler.ReasonMemory)).Str("job", string(job)).Send()
+		platform.WriteOutcome(w, scheduler.Answer{Status: scheduler.StatusUnavailable, RetryAfter: ingress.RetryAfter})
+		return
 	}
-	d.log.Info().Err(err).Str("event", "request").Str("outcome", "invalid").Str("job", string(job)).Int("status", status).Send()
+	d.clientLog.Info().Err(err).Str("event", "request").Str("outcome", "invalid").Str("job", string(job)).Int("status", status).Send()
 	http.Error(w, err.Error(), status)
 }
 
 // serveRequest waits for the reducer's answer to a request and records its duration.
-func (d *Daemon) serveRequest(ctx context.Context, kind requestKind, event func(scheduler.Token) scheduler.Event) scheduler.Answer {
+func (d *Daemon) serveRequest(r *http.Request, kind requestKind, event func(scheduler.Token) scheduler.Event) scheduler.Answer {
 	began := time.Now()
-	a := d.await(ctx, event)
+	answered := ingress.PassOn(r)
+	a := d.await(r.Context(), event)
+	answered()
 	d.metrics.observeRequest(kind, a.Status, time.Since(began))
 	return a
 }
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +20,8 @@
 	"banyanrun.example/banyanrun/control"
 	"banyanrun.example/banyanrun/exchange"
 	"banyanrun.example/banyanrun/internal/drain"
+	"banyanrun.example/banyanrun/internal/ingress"
+	"banyanrun.example/banyanrun/internal/loglimit"
 	"banyanrun.example/banyanrun/platform"
 	"banyanrun.example/banyanrun/scheduler"
 )
@@ -60,9 +61,11 @@
 
 // Daemon is one scheduler process.
 type Daemon struct {
-	settings  *platform.Settings
-	options   Options
-	log       zerolog.Logger
+	settings *platform.Settings
+	options  Options
+	log      zerolog.Logger
+	// clientLog is for lines that clients cause, of which it writes a bounded number.
+	clientLog zerolog.Logger
 	writer    *logWriter
 	decisions decisionLog
 	metrics   *daemonMetrics
@@ -102,6 +105,9 @@
 	// hosts. They connect to the address in the settings file, where a forwarder
 	// passes their connections on.
 	PeerListen string
+	// MemoryMB bounds what clients may hold if the platform's settings name no memory
+	// limit.
+	MemoryMB int
 }
 
 // New returns a daemon that logs to out. It starts with Run.
@@ -118,6 +124,7 @@
 		pending: map[scheduler.Token]chan scheduler.Answer{}, stopped: make(chan struct{}),
 	}
 	d.decisions.droppedTotal = d.metrics.logLinesDropped
+	d.clientLog = loglimit.New(logger, maxClientLogLines, time.Second, d.metrics.logLinesDropped)
 	d.agentCalls = d.newAgentCalls()
 	reducer := scheduler.New(scheduler.Self{
 		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Power: settings.MilliCPU, Seed: opts.Seed,
@@ -148,25 +155,30 @@
 	}
 	var goroutines conc.WaitGroup
 	defer goroutines.Wait()
+	gates, err := d.newGates()
+	if err != nil {
+		return err
+	}
 	var servers []*drain.Server
 	for _, s := range []struct {
 		address string
+		gate    *ingress.Gate
 		routes  http.Handler
 	}{
-		{d.settings.CallerAddress, http.HandlerFunc(d.serveCaller)},
-		{peers, d.peerRoutes()},
-		{d.settings.ReadyAddress, d.readyRoutes()},
+		{d.settings.CallerAddress, gates.callers, http.HandlerFunc(d.serveCaller)},
+		{peers, nil, d.peerRoutes()},
+		{d.settings.ReadyAddress, nil, d.readyRoutes()},
 	} {
-		listener, err := net.Listen("tcp", s.address)
+		server, err := d.serve(ctx, s.address, s.gate, s.routes, goroutines.Go, func(err error) {
+			d.log.Error().Err(err).Str("event", "listener").Str("outcome", "failed").Str("address", s.address).Send()
+			cancel()
+		})
 		if err != nil {
 			cancel()
 			d.closeServers(servers)
-			return fmt.Errorf("listen on %s: %w", s.address, err)
+			return err
 		}
-		servers = append(servers, drain.Serve(d.newServer(s.routes), listener, listener, goroutines.Go, func(err error) {
-			d.log.Error().Err(err).Str("event", "listener").Str("outcome", "failed").Str("address", s.address).Send()
-			cancel()
-		}))
+		servers = append(servers, server)
 	}
 	d.callerServer.Store(servers[0])
 	d.serveMetrics(ctx, &goroutines)
--- /dev/null
+++ b/host/ingress.go
@@ -0,0 +1,91 @@
+package host
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"banyanrun.example/banyanrun/internal/drain"
+	"banyanrun.example/banyanrun/internal/ingress"
+)
+
+// Shares of a host's memory for what the clients of each port may hold. With the state
+// of the cell and the log they stay below the memory limit of the runtime.
+const callerMemoryShare = 0.16
+
+// Shares of the descriptors, beyond those that the platform reserves for files, for the
+// connections of each port. The rest is for the host's own calls.
+const (
+	reservedFDs   = 200
+	callerFDShare = 0.50
+)
+
+// Sizes of the kernel's buffers for a connection. Answers to callers are short.
+const callerReceiveBuffer, callerSendBuffer = 16 << 10, 4 << 10
+
+const (
+	// clientWriteTimeout bounds one write to a client that does not read.
+	clientWriteTimeout = 5 * time.Second
+	// clientBodyTimeout bounds the time in which no byte of a body arrives. No caller
+	// waits longer for an answer.
+	clientBodyTimeout = time.Minute
+)
+
+// MinMemoryMB is the smallest memory of a host. With less there is no room for the
+// program beside its clients.
+const MinMemoryMB = 64
+
+// defaultMemoryMB bounds what clients hold if neither the settings nor the options name
+// the memory.
+const defaultMemoryMB = 512
+
+// gates bound what the clients of each port may hold.
+type gates struct{ callers *ingress.Gate }
+
+// newGates returns the gates for the limits in the settings.
+func (d *Daemon) newGates() (*gates, error) {
+	memoryMB := cmp.Or(d.settings.MemoryMB, d.options.MemoryMB, defaultMemoryMB)
+	fds := d.settings.MaxFDs
+	if fds == 0 {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			return nil, fmt.Errorf("limit on descriptors: %w", err)
+		}
+		fds = int(min(limit.Cur, mailboxSize))
+	}
+	// Each connection has at most one request in progress, so the requests of all
+	// clients leave room in the mailbox for the host's own events.
+	fds = min(fds, mailboxSize)
+	gate := func(port string, memoryShare, fdShare float64, receive, send int) *ingress.Gate {
+		return ingress.NewGate(ingress.Config{
+			Port: port, Bytes: int64(memoryShare * float64(memoryMB<<20)), Connections: int(fdShare * float64(fds-reservedFDs)),
+			ReceiveBuffer: receive, SendBuffer: send, WriteTimeout: clientWriteTimeout, BodyTimeout: clientBodyTimeout,
+			Metrics: d.metrics.set, Log: d.clientLog,
+		})
+	}
+	return &gates{
+		callers: gate("callers", callerMemoryShare, callerFDShare, callerReceiveBuffer, callerSendBuffer),
+	}, nil
+}
+
+// serve listens on an address and serves its clients within the bounds of a gate.
+func (d *Daemon) serve(ctx context.Context, address string, gate *ingress.Gate, routes http.Handler, startGoroutine func(func()), onError func(error)) (*drain.Server, error) {
+	if gate == nil {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", address, err)
+		}
+		return drain.Serve(d.newServer(routes), listener, listener, startGoroutine, onError), nil
+	}
+	listener, err := gate.Listen(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := d.newServer(routes)
+	gate.Configure(server)
+	return drain.Serve(server, gate.Limit(listener), listener, startGoroutine, onError), nil
+}
--- a/host/logging.go
+++ b/host/logging.go
@@ -22,6 +22,9 @@
 	// tasks are logged. The rest is reserved for the other decisions, which explain
 	// more.
 	perTaskLogShare = 0.8
+	// maxClientLogLines bounds the lines in a second about refused requests and
+	// connections, which any client can cause.
+	maxClientLogLines = 200
 )
 
 // logWriter passes lines to a goroutine that writes them. It never blocks: while
--- a/host/operationspage_test.go
+++ b/host/operationspage_test.go
@@ -25,6 +25,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	shared, err := filepath.Glob("../internal/ingress/*.go")
+	if err != nil || len(shared) == 0 {
+		t.Fatalf("%d files of package ingress: %v", len(shared), err)
+	}
+	files = append(files, shared...)
 	for _, name := range files {
 		if strings.HasSuffix(name, "_test.go") {
 			continue
--- a/scheduler/memory.go
+++ b/scheduler/memory.go
@@ -111,6 +111,10 @@
 	return n
 }
 
+// FootprintBytes returns the memory of a specification and of its encoded form, in which
+// it is forwarded to the owner.
+func (s *JobSpec) FootprintBytes() int64 { return specBytes(s) + int64(s.estimatedSize()) }
+
 // occurrenceCharge returns the memory of an open occurrence. All runs of a gang are
 // included, because it starts as a whole.
 func occurrenceCharge(s *JobSpec) int64 {
