Charge what a caller's body becomes when it is decoded

What callers saw: forty bodies of 256 KiB with many empty steps took a host of 128 MB to 881 MB. Whole bodies are as dangerous as unfinished ones.

Cause: an empty step takes three bytes of a body and several hundred bytes in memory, and any number of bodies was decoded at a time.

Change: before a body is decoded, an upper bound of the memory of its values is reserved, computed from the number of objects and other values in the text. While a job waits for its answer, the memory of its specification and of the form in which it is forwarded stays reserved.

TestDecodedBytesCoverMemory compares the bound with the heap.

--- a/host/caller.go
+++ b/host/caller.go
@@ -79,7 +79,11 @@
 		d.rejectRequest(w, e.Job, fmt.Errorf("read the body: %w", err))
 		return
 	}
-	if e.Spec, err = platform.ParseJob(body); err != nil {
+	err = ingress.Decode(r, body, func() error {
+		e.Spec, err = platform.ParseJob(body)
+		return err
+	}, func() int64 { return e.Spec.FootprintBytes() })
+	if err != nil {
 		d.rejectRequest(w, e.Job, err)
 		return
 	}
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -71,6 +71,7 @@
 	unfinished := func(r *request) { r.omittedBytes = 1 }
 	return []hostCrowd{
 		{"whole bodies", 300, submit(job, func(*request) {}), callersPort},
+		{"whole bodies of empty steps", 40, submit(repeated(`{"spec":"","steps":[`, "{},", "]}", maxBodyBytes), func(*request) {}), callersPort},
 		{"bodies without their last byte", 500, submit(job, unfinished), callersPort},
 		{"bodies in pieces without their last byte", 500, submit(text, func(r *request) { r.omittedBytes, r.writeBytes = 1, 1000 }), callersPort},
 		{"large chunks without their end", 500, submit(text, func(r *request) { r.chunkBytes, r.omittedBytes = 64<<10, chunkedEndBytes }), callersPort},
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -23,7 +23,7 @@
 // the slice that holds it, and for each other value.
 const (
 	objectBytes = 640
-	valueBytes  = 24
+	valueBytes  = 32
 )
 
 // RefusedError reports that there is no memory for a request. It was not passed on.
