Bound what clients hold at a host's port for other hosts

What callers saw: forty messages of 8 MiB without their last byte at the port for other hosts took a host of 128 MB to 346 MB, and two whole ones with many empty steps to 1,403 MB. Connections to it took 1,015 sockets of 824.

Cause: the port has no bound on the sum, and each order in a message got a goroutine at once, whatever their number.

Change: the port is served through a gate of its own with 12% of the memory and a quarter of the descriptors, so that callers cannot take what other hosts need. The runtime's memory limit rises from 60% to 66% so that the sum of all shares fits.

--- a/cmd/banyanrun-host/main.go
+++ b/cmd/banyanrun-host/main.go
@@ -21,8 +21,9 @@
 
 // memoryLimitFraction is the soft memory limit of the Go runtime as a fraction
 // of the memory of the process. Near the limit the runtime collects garbage
-// continuously. The rest is for socket buffers.
-const memoryLimitFraction = 0.6
+// continuously. It has room for the state of the cell, the log and what clients hold.
+// The rest is for socket buffers and the program itself.
+const memoryLimitFraction = 0.66
 
 const maxPort = 65535
 
--- a/host/agent.go
+++ b/host/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -9,7 +10,9 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
 
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/scheduler"
 )
 
@@ -24,6 +27,9 @@
 	// agentTimeoutMargin is added to the timeout of a call to a worker for the
 	// round trip between this host and the worker's agent.
 	agentTimeoutMargin = 500 * time.Millisecond
+	// orderBytes covers an order that is being executed: its goroutine and the
+	// connection to the worker.
+	orderBytes = 24 << 10
 )
 
 // workerOrder is a call to a worker that the owner delegates to the worker's
@@ -250,17 +256,44 @@
 	}
 }
 
+// check returns an error if an agent cannot have been sent the batch.
+func (b *orderBatch) check() error {
+	if len(b.Orders) > maxBatchSize {
+		return fmt.Errorf("batch of %d orders, allowed %d", len(b.Orders), maxBatchSize)
+	}
+	for i := range b.Orders {
+		if b.Orders[i].operation() == nil {
+			return fmt.Errorf("order %d carries no operation", i)
+		}
+	}
+	return nil
+}
+
 // agentRoutes adds the handlers for orders from the owner and for results from
-// agents.
-func (d *Daemon) agentRoutes(router *httprouter.Router) {
+// agents. The gate bounds the orders that are being executed.
+func (d *Daemon) agentRoutes(router *httprouter.Router, gate *ingress.Gate) {
 	router.POST(pathOrders, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var b orderBatch
 		if !d.readPeerMessage(w, r, &b) {
 			return
 		}
-		for _, o := range b.Orders {
-			d.peerOrders.Go(func() { d.executeOrder(requester{b.ReplyTo, b.Process}, o) })
+		if err := b.check(); err != nil {
+			d.rejectPeerMessage(w, r, err)
+			return
+		}
+		release, err := gate.Hold(int64(len(b.Orders)) * orderBytes)
+		if err != nil {
+			d.rejectPeerMessage(w, r, err)
+			return
 		}
+		d.peerOrders.Go(func() {
+			defer release()
+			var orders conc.WaitGroup
+			defer orders.Wait()
+			for _, o := range b.Orders {
+				orders.Go(func() { d.executeOrder(requester{b.ReplyTo, b.Process}, o) })
+			}
+		})
 		d.writePeerResponse(w, struct{}{})
 	})
 	router.POST(pathResults, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
@@ -269,7 +302,7 @@
 			return
 		}
 		if !d.agentCalls.deliver(&b) {
-			d.log.Info().Str("event", "agent").Str("outcome", "results_for_another_process").Int("results", len(b.Results)).Send()
+			d.clientLog.Info().Str("event", "agent").Str("outcome", "results_for_another_process").Int("results", len(b.Results)).Send()
 		}
 		d.writePeerResponse(w, struct{}{})
 	})
--- a/host/agent_test.go
+++ b/host/agent_test.go
@@ -33,7 +33,11 @@
 	p.daemon = New(&platform.Settings{Host: "host", PeerAddress: listener.Addr().String()}, io.Discard, Options{})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.daemon.runCtx = ctx
-	routes := p.daemon.peerRoutes()
+	gates, err := p.daemon.newGates()
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := p.daemon.peerRoutes(gates.peers)
 	p.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		routes.ServeHTTP(w, r)
 		if r.URL.Path == pathResults {
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -166,7 +166,7 @@
 		routes  http.Handler
 	}{
 		{d.settings.CallerAddress, gates.callers, http.HandlerFunc(d.serveCaller)},
-		{peers, nil, d.peerRoutes()},
+		{peers, gates.peers, d.peerRoutes(gates.peers)},
 		{d.settings.ReadyAddress, nil, d.readyRoutes()},
 	} {
 		server, err := d.serve(ctx, s.address, s.gate, s.routes, goroutines.Go, func(err error) {
--- a/host/ingress.go
+++ b/host/ingress.go
@@ -15,17 +15,25 @@
 
 // Shares of a host's memory for what the clients of each port may hold. With the state
 // of the cell and the log they stay below the memory limit of the runtime.
-const callerMemoryShare = 0.16
+const (
+	callerMemoryShare = 0.16
+	peerMemoryShare   = 0.12
+)
 
 // Shares of the descriptors, beyond those that the platform reserves for files, for the
 // connections of each port. The rest is for the host's own calls.
 const (
 	reservedFDs   = 200
 	callerFDShare = 0.50
+	peerFDShare   = 0.25
 )
 
-// Sizes of the kernel's buffers for a connection. Answers to callers are short.
-const callerReceiveBuffer, callerSendBuffer = 16 << 10, 4 << 10
+// Sizes of the kernel's buffers for a connection. Answers to callers are short. A batch
+// of orders between hosts has hundreds of KiB and may cross regions.
+const (
+	callerReceiveBuffer, callerSendBuffer = 16 << 10, 4 << 10
+	peerReceiveBuffer, peerSendBuffer     = 32 << 10, 8 << 10
+)
 
 const (
 	// clientWriteTimeout bounds one write to a client that does not read.
@@ -44,7 +52,7 @@
 const defaultMemoryMB = 512
 
 // gates bound what the clients of each port may hold.
-type gates struct{ callers *ingress.Gate }
+type gates struct{ callers, peers *ingress.Gate }
 
 // newGates returns the gates for the limits in the settings.
 func (d *Daemon) newGates() (*gates, error) {
@@ -69,6 +77,7 @@
 	}
 	return &gates{
 		callers: gate("callers", callerMemoryShare, callerFDShare, callerReceiveBuffer, callerSendBuffer),
+		peers:   gate("peers", peerMemoryShare, peerFDShare, peerReceiveBuffer, peerSendBuffer),
 	}, nil
 }
 
--- a/host/peer.go
+++ b/host/peer.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"banyanrun.example/banyanrun/exchange"
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/scheduler"
 )
 
@@ -109,7 +110,7 @@
 }
 
 // peerRoutes returns the handler for calls from other hosts.
-func (d *Daemon) peerRoutes() http.Handler {
+func (d *Daemon) peerRoutes(gate *ingress.Gate) http.Handler {
 	router := httprouter.New()
 	router.POST(pathRequest, func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 		var p peerRequest
@@ -146,25 +147,37 @@
 			d.writePeerResponse(w, d.executeStoreRequest(r.Context(), s))
 		}
 	})
-	d.agentRoutes(router)
+	d.agentRoutes(router, gate)
 	return router
 }
 
-// readPeerMessage decodes the body of another host's call into out. If that fails
-// it responds with status 400 and returns false.
+// readPeerMessage decodes the body of another host's call into out, which takes effect
+// afterwards. If that fails it responds with status 400, or 503 without memory for it,
+// and returns false.
 func (d *Daemon) readPeerMessage(w http.ResponseWriter, r *http.Request, out any) bool {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPeerBytes))
+	body, err := ingress.ReadBody(w, r, maxPeerBytes)
 	if err == nil {
-		err = json.Unmarshal(body, out)
+		err = ingress.Decode(r, body, func() error { return json.Unmarshal(body, out) }, nil)
 	}
 	if err != nil {
-		d.log.Warn().Err(err).Str("event", "peer").Str("outcome", "unreadable").Str("path", r.URL.Path).Send()
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		d.rejectPeerMessage(w, r, err)
 		return false
 	}
+	ingress.PassOn(r)
 	return true
 }
 
+// rejectPeerMessage responds to a message that had no effect.
+func (d *Daemon) rejectPeerMessage(w http.ResponseWriter, r *http.Request, err error) {
+	status, outcome := http.StatusBadRequest, "unreadable"
+	var refused *ingress.RefusedError
+	if errors.As(err, &refused) {
+		status, outcome = http.StatusServiceUnavailable, "no_memory"
+	}
+	d.clientLog.Warn().Err(err).Str("event", "peer").Str("outcome", outcome).Str("path", r.URL.Path).Send()
+	http.Error(w, err.Error(), status)
+}
+
 func (d *Daemon) writePeerResponse(w http.ResponseWriter, v any) {
 	text, err := json.Marshal(v)
 	if err != nil {
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -19,8 +20,10 @@
 	hostMaxFDs   = 1024
 	// reservedFDs are the descriptors that the platform reserves for files.
 	reservedFDs = 200
-	// maxBodyBytes is the limit on bodies in the emulated configuration.
+	// maxBodyBytes is the limit on bodies in the emulated configuration, maxPeerBytes
+	// the one on messages between hosts.
 	maxBodyBytes = 256 << 10
+	maxPeerBytes = 8 << 20
 )
 
 // largeJob returns the largest valid job of small steps. It is due in a few hours.
@@ -64,6 +67,7 @@
 }
 
 func callersPort(p *testhosts.Process) string { return p.Callers }
+func peersPort(p *testhosts.Process) string   { return p.Peers }
 
 func hostCrowds(t *testing.T) []hostCrowd {
 	job := largeJob(t)
@@ -80,11 +84,22 @@
 			method: http.MethodGet, path: "/", host: emulator.CallerHostName, header: headerLines(2600), omittedBytes: len("\r\n"),
 		}, callersPort},
 		{"more connections than descriptors", 1200, submit([]byte("{}"), unfinished), callersPort},
+		{"messages between hosts without their last byte", 40, request{
+			method: http.MethodPost, path: "/peer/v1/orders", host: "peer", body: bytes.Repeat([]byte(" "), maxPeerBytes), omittedBytes: 1,
+		}, peersPort},
+		{"whole messages between hosts of empty steps", 2, request{
+			method: http.MethodPost, path: "/peer/v1/request", host: "peer",
+			body: repeated(`{"kind":"submit","spec":{"payload":"","steps":[`, "{},", "]}}", maxPeerBytes),
+		}, peersPort},
+		{"more connections of hosts than descriptors", 1200, request{
+			method: http.MethodPost, path: "/peer/v1/request", host: "peer", body: []byte("{}"), omittedBytes: 1,
+		}, peersPort},
 	}
 }
 
 // TestHostsSurviveCrowds guards against clients that end or hang a host: with many
-// bodies of legal size, whole or unfinished, or with many connections.
+// bodies of legal size, whole or unfinished, with many connections, or at the port for
+// other hosts.
 func TestHostsSurviveCrowds(t *testing.T) {
 	binary := build(t, "banyanrun-host")
 	for _, c := range hostCrowds(t) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -126,7 +126,8 @@
 
 // Decode runs decode, which turns the JSON text of a request into values, with enough
 // memory for them. Large bodies wait for their turn. Afterwards the request holds the
-// memory that kept returns. Decode returns *RefusedError or the error of decode.
+// memory that kept returns, or all of it if kept is nil. Decode returns *RefusedError or
+// the error of decode.
 func Decode(r *http.Request, body []byte, decode func() error, kept func() int64) error {
 	c := connOf(r)
 	if c == nil {
@@ -143,7 +144,7 @@
 			return &RefusedError{}
 		}
 	}
-	if err := decode(); err != nil {
+	if err := decode(); err != nil || kept == nil {
 		return err
 	}
 	return c.resizeBody(kept())
