Bound the connections to a host's readiness check and metrics

What callers saw: 1,200 connections with an unfinished request to the readiness check took all 1,024 descriptors of a host, also those that it needs to call the store and workers.

Cause: nothing bounded the connections of these ports.

Change: both ports share a gate with 2% of the memory and 5% of the descriptors.

--- a/host/daemon.go
+++ b/host/daemon.go
@@ -167,7 +167,7 @@
 	}{
 		{d.settings.CallerAddress, gates.callers, http.HandlerFunc(d.serveCaller)},
 		{peers, gates.peers, d.peerRoutes(gates.peers)},
-		{d.settings.ReadyAddress, nil, d.readyRoutes()},
+		{d.settings.ReadyAddress, gates.observers, d.readyRoutes()},
 	} {
 		server, err := d.serve(ctx, s.address, s.gate, s.routes, goroutines.Go, func(err error) {
 			d.log.Error().Err(err).Str("event", "listener").Str("outcome", "failed").Str("address", s.address).Send()
@@ -181,7 +181,7 @@
 		servers = append(servers, server)
 	}
 	d.callerServer.Store(servers[0])
-	d.serveMetrics(ctx, &goroutines)
+	d.serveMetrics(ctx, gates.observers, &goroutines)
 	goroutines.Go(func() { d.loop.Run(ctx) })
 	for _, f := range []follower{d.followConfig(), d.followWorkers(), d.followOwner()} {
 		goroutines.Go(func() { d.follow(ctx, f) })
@@ -211,12 +211,12 @@
 // serveMetrics serves the metrics on their own port, if there is one. If that port
 // is taken it logs a warning and continues, because the metrics are also served on
 // the address of the readiness check.
-func (d *Daemon) serveMetrics(ctx context.Context, goroutines *conc.WaitGroup) {
+func (d *Daemon) serveMetrics(ctx context.Context, gate *ingress.Gate, goroutines *conc.WaitGroup) {
 	if d.options.MetricsPort == 0 {
 		return
 	}
 	address := net.JoinHostPort(d.settings.Address, strconv.Itoa(d.options.MetricsPort))
-	listener, err := net.Listen("tcp", address)
+	listener, err := gate.Listen(ctx, address)
 	if err != nil {
 		d.log.Warn().Err(err).Str("event", "listener").Str("outcome", "no_metrics_port").Str("address", address).Send()
 		return
@@ -224,8 +224,9 @@
 	router := httprouter.New()
 	router.Handler(http.MethodGet, metricsPath, d.metrics)
 	server := d.newServer(router)
+	gate.Configure(server)
 	goroutines.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(gate.Limit(listener)); !errors.Is(err, http.ErrServerClosed) {
 			d.log.Warn().Err(err).Str("event", "listener").Str("outcome", "metrics_failed").Send()
 		}
 	})
--- a/host/ingress.go
+++ b/host/ingress.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -16,23 +15,26 @@
 // Shares of a host's memory for what the clients of each port may hold. With the state
 // of the cell and the log they stay below the memory limit of the runtime.
 const (
-	callerMemoryShare = 0.16
-	peerMemoryShare   = 0.12
+	callerMemoryShare   = 0.16
+	peerMemoryShare     = 0.12
+	observerMemoryShare = 0.02
 )
 
 // Shares of the descriptors, beyond those that the platform reserves for files, for the
 // connections of each port. The rest is for the host's own calls.
 const (
-	reservedFDs   = 200
-	callerFDShare = 0.50
-	peerFDShare   = 0.25
+	reservedFDs     = 200
+	callerFDShare   = 0.50
+	peerFDShare     = 0.25
+	observerFDShare = 0.05
 )
 
 // Sizes of the kernel's buffers for a connection. Answers to callers are short. A batch
 // of orders between hosts has hundreds of KiB and may cross regions.
 const (
-	callerReceiveBuffer, callerSendBuffer = 16 << 10, 4 << 10
-	peerReceiveBuffer, peerSendBuffer     = 32 << 10, 8 << 10
+	callerReceiveBuffer, callerSendBuffer     = 16 << 10, 4 << 10
+	peerReceiveBuffer, peerSendBuffer         = 32 << 10, 8 << 10
+	observerReceiveBuffer, observerSendBuffer = 4 << 10, 16 << 10
 )
 
 const (
@@ -51,8 +53,9 @@
 // the memory.
 const defaultMemoryMB = 512
 
-// gates bound what the clients of each port may hold.
-type gates struct{ callers, peers *ingress.Gate }
+// gates bound what the clients of each port may hold. Those of the readiness check and
+// of the metrics are observers.
+type gates struct{ callers, peers, observers *ingress.Gate }
 
 // newGates returns the gates for the limits in the settings.
 func (d *Daemon) newGates() (*gates, error) {
@@ -76,20 +79,14 @@
 		})
 	}
 	return &gates{
-		callers: gate("callers", callerMemoryShare, callerFDShare, callerReceiveBuffer, callerSendBuffer),
-		peers:   gate("peers", peerMemoryShare, peerFDShare, peerReceiveBuffer, peerSendBuffer),
+		callers:   gate("callers", callerMemoryShare, callerFDShare, callerReceiveBuffer, callerSendBuffer),
+		peers:     gate("peers", peerMemoryShare, peerFDShare, peerReceiveBuffer, peerSendBuffer),
+		observers: gate("observers", observerMemoryShare, observerFDShare, observerReceiveBuffer, observerSendBuffer),
 	}, nil
 }
 
 // serve listens on an address and serves its clients within the bounds of a gate.
 func (d *Daemon) serve(ctx context.Context, address string, gate *ingress.Gate, routes http.Handler, startGoroutine func(func()), onError func(error)) (*drain.Server, error) {
-	if gate == nil {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			return nil, fmt.Errorf("listen on %s: %w", address, err)
-		}
-		return drain.Serve(d.newServer(routes), listener, listener, startGoroutine, onError), nil
-	}
 	listener, err := gate.Listen(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
--- a/integration/crowd/host_test.go
+++ b/integration/crowd/host_test.go
@@ -68,6 +68,7 @@
 
 func callersPort(p *testhosts.Process) string { return p.Callers }
 func peersPort(p *testhosts.Process) string   { return p.Peers }
+func readyPort(p *testhosts.Process) string   { return p.Ready }
 
 func hostCrowds(t *testing.T) []hostCrowd {
 	job := largeJob(t)
@@ -84,6 +85,9 @@
 			method: http.MethodGet, path: "/", host: emulator.CallerHostName, header: headerLines(2600), omittedBytes: len("\r\n"),
 		}, callersPort},
 		{"more connections than descriptors", 1200, submit([]byte("{}"), unfinished), callersPort},
+		{"more connections to the readiness check than descriptors", 1200, request{
+			method: http.MethodGet, path: "/v1/ready", host: "ready", body: []byte("{}"), omittedBytes: 1,
+		}, readyPort},
 		{"messages between hosts without their last byte", 40, request{
 			method: http.MethodPost, path: "/peer/v1/orders", host: "peer", body: bytes.Repeat([]byte(" "), maxPeerBytes), omittedBytes: 1,
 		}, peersPort},
@@ -98,8 +102,8 @@
 }
 
 // TestHostsSurviveCrowds guards against clients that end or hang a host: with many
-// bodies of legal size, whole or unfinished, with many connections, or at the port for
-// other hosts.
+// bodies of legal size, whole or unfinished, with many connections, or at the ports for
+// other hosts and for the readiness check.
 func TestHostsSurviveCrowds(t *testing.T) {
 	binary := build(t, "banyanrun-host")
 	for _, c := range hostCrowds(t) {
