Bound the log lines that clients of a host cause

What operators saw: one line for each refused request, without a limit, and with the client's text in full; 2,000 requests for an unknown queue wrote 2,000 lines.

Change: lines about clients are limited to 200 a second, as are those about failed calls, which requests and messages of other hosts can cause. The rest is counted. A client's text is cut after 200 bytes, also in the response.

--- a/host/agent.go
+++ b/host/agent.go
@@ -243,7 +243,7 @@
 	var out struct{}
 	message := orderBatch{d.settings.PeerAddress, d.agentCalls.process, batch}
 	if failure := d.callPeer(ctx, address, pathOrders, message, &out, orderTimeout); failure != nil {
-		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "orders_failed").Str("agent", address).Int("orders", len(batch)).Send()
+		d.callLog.Info().Err(failure).Str("event", "agent").Str("outcome", "orders_failed").Str("agent", address).Int("orders", len(batch)).Send()
 	}
 }
 
@@ -252,7 +252,7 @@
 func (d *Daemon) sendResults(ctx context.Context, to requester, batch []workerResult) {
 	var out struct{}
 	if failure := d.callPeer(ctx, to.address, pathResults, resultBatch{to.process, batch}, &out, orderTimeout); failure != nil {
-		d.log.Info().Err(failure).Str("event", "agent").Str("outcome", "results_failed").Str("owner", to.address).Int("results", len(batch)).Send()
+		d.callLog.Info().Err(failure).Str("event", "agent").Str("outcome", "results_failed").Str("owner", to.address).Int("results", len(batch)).Send()
 	}
 }
 
--- a/host/caller.go
+++ b/host/caller.go
@@ -35,13 +35,13 @@
 	received := now()
 	cfg := d.config.Load()
 	if cfg == nil {
-		d.log.Info().Str("event", "request").Str("outcome", "unavailable").Str("reason", string(scheduler.ReasonNoConfig)).Str("path", r.URL.Path).Send()
+		d.clientLog.Info().Str("event", "request").Str("outcome", "unavailable").Str("reason", string(scheduler.ReasonNoConfig)).Str("path", clip(r.URL.Path)).Send()
 		platform.WriteOutcome(w, scheduler.Answer{Status: scheduler.StatusUnavailable, RetryAfter: time.Second})
 		return
 	}
 	queue, id, ok := cfg.Route(r.Host, r.URL.Path)
 	if !ok {
-		d.log.Info().Str("event", "request").Str("outcome", "no_queue").Str("path", r.URL.Path).Str("name", r.Host).Int64("version", cfg.Scheduler.Version).Send()
+		d.clientLog.Info().Str("event", "request").Str("outcome", "no_queue").Str("path", clip(r.URL.Path)).Str("name", clip(r.Host)).Int64("version", cfg.Scheduler.Version).Send()
 		platform.WriteOutcome(w, scheduler.Answer{Status: scheduler.StatusNoQueue})
 		return
 	}
@@ -112,8 +112,9 @@
 		platform.WriteOutcome(w, scheduler.Answer{Status: scheduler.StatusUnavailable, RetryAfter: ingress.RetryAfter})
 		return
 	}
-	d.clientLog.Info().Err(err).Str("event", "request").Str("outcome", "invalid").Str("job", string(job)).Int("status", status).Send()
-	http.Error(w, err.Error(), status)
+	text := clip(err.Error())
+	d.clientLog.Info().Str("error", text).Str("event", "request").Str("outcome", "invalid").Str("job", clip(string(job))).Int("status", status).Send()
+	http.Error(w, text, status)
 }
 
 // serveRequest waits for the reducer's answer to a request and records its duration.
--- a/host/daemon.go
+++ b/host/daemon.go
@@ -66,6 +66,8 @@
 	log      zerolog.Logger
 	// clientLog is for lines that clients cause, of which it writes a bounded number.
 	clientLog zerolog.Logger
+	// callLog is for lines about failed calls, with a bound of its own.
+	callLog   zerolog.Logger
 	writer    *logWriter
 	decisions decisionLog
 	metrics   *daemonMetrics
@@ -125,6 +127,7 @@
 	}
 	d.decisions.droppedTotal = d.metrics.logLinesDropped
 	d.clientLog = loglimit.New(logger, maxClientLogLines, time.Second, d.metrics.logLinesDropped)
+	d.callLog = loglimit.New(logger, maxClientLogLines, time.Second, d.metrics.logLinesDropped)
 	d.agentCalls = d.newAgentCalls()
 	reducer := scheduler.New(scheduler.Self{
 		Host: settings.Host, Address: settings.PeerAddress, Zone: settings.Zone, Power: settings.MilliCPU, Seed: opts.Seed,
--- a/host/execute.go
+++ b/host/execute.go
@@ -113,7 +113,7 @@
 	}
 	d.metrics.observeCall(to, outcomeLabel(err), time.Since(began))
 	if err != nil && ctx.Err() == nil {
-		d.log.Info().Err(err).Str("event", "call").Str("outcome", "failed").Type("call", e).Send()
+		d.callLog.Info().Err(err).Str("event", "call").Str("outcome", "failed").Type("call", e).Send()
 	}
 	return answer
 }
--- a/host/logging.go
+++ b/host/logging.go
@@ -23,10 +23,21 @@
 	// more.
 	perTaskLogShare = 0.8
 	// maxClientLogLines bounds the lines in a second about refused requests and
-	// connections, which any client can cause.
+	// connections, which any client can cause. It bounds separately those about failed
+	// calls, which requests and orders of other hosts can cause.
 	maxClientLogLines = 200
+	// maxLoggedText bounds a client's text in a line.
+	maxLoggedText = 200
 )
 
+// clip shortens a client's text for a log line or a response.
+func clip(text string) string {
+	if len(text) <= maxLoggedText {
+		return text
+	}
+	return text[:maxLoggedText] + "..."
+}
+
 // logWriter passes lines to a goroutine that writes them. It never blocks: while
 // its buffer is full, lines are dropped and counted.
 type logWriter struct {
--- a/host/peer.go
+++ b/host/peer.go
@@ -174,8 +174,9 @@
 	if errors.As(err, &refused) {
 		status, outcome = http.StatusServiceUnavailable, "no_memory"
 	}
-	d.clientLog.Warn().Err(err).Str("event", "peer").Str("outcome", outcome).Str("path", r.URL.Path).Send()
-	http.Error(w, err.Error(), status)
+	text := clip(err.Error())
+	d.clientLog.Warn().Str("error", text).Str("event", "peer").Str("outcome", outcome).Str("path", clip(r.URL.Path)).Send()
+	http.Error(w, text, status)
 }
 
 func (d *Daemon) writePeerResponse(w http.ResponseWriter, v any) {
@@ -224,7 +225,7 @@
 	e := scheduler.ForwardAnswered{Token: f.Token}
 	if failure := d.callPeer(ctx, f.Address, pathRequest, newPeerRequest(f.Request), &e.Answer, f.Timeout); failure != nil {
 		e.Failed, e.Written = true, failure.Written
-		d.log.Info().Err(failure).Str("event", "forward").Str("outcome", "failed").Str("owner", f.Address).Send()
+		d.callLog.Info().Err(failure).Str("event", "forward").Str("outcome", "failed").Str("owner", f.Address).Send()
 	}
 	return e
 }
@@ -234,7 +235,7 @@
 	var out scheduler.Answer
 	message := helloMessage{d.settings.Host, d.settings.PeerAddress, d.settings.MilliCPU, d.settings.Limits.MemoryBytes, d.settings.Zone}
 	if failure := d.callPeer(ctx, h.Address, pathHello, message, &out, orderTimeout); failure != nil {
-		d.log.Info().Err(failure).Str("event", "hello").Str("outcome", "failed").Str("owner", h.Address).Send()
+		d.callLog.Info().Err(failure).Str("event", "hello").Str("outcome", "failed").Str("owner", h.Address).Send()
 		return
 	}
 	if out.Status == scheduler.StatusOK {
@@ -250,7 +251,7 @@
 	var out adviceResponse
 	var e scheduler.AdviceAnswered
 	if failure := d.callPeer(ctx, a.Host, pathAdvice, adviceRequest{a.Step, a.Workers, a.Timeout}, &out, a.Timeout); failure != nil {
-		d.log.Info().Err(failure).Str("event", "advice").Str("outcome", "host_failed").Str("through", a.Host).Send()
+		d.callLog.Info().Err(failure).Str("event", "advice").Str("outcome", "host_failed").Str("through", a.Host).Send()
 		e.Failed = true
 		return e
 	}
@@ -262,7 +263,7 @@
 func (d *Daemon) askAdviceDirect(ctx context.Context, a scheduler.AskAdvice) scheduler.AdviceAnswered {
 	e, err := d.advice.Ask(ctx, a)
 	if err != nil {
-		d.log.Info().Err(err).Str("event", "advice").Str("outcome", "failed").Str("step", a.Step).Send()
+		d.callLog.Info().Err(err).Str("event", "advice").Str("outcome", "failed").Str("step", clip(a.Step)).Send()
 	}
 	return e
 }
