Charge answers that clients do not read

What callers saw: a client that asks for large answers and does not read them holds them in memory, and ordinary callers compete with it.

Cause: the gate charged requests only.

Change: the part of a response that is being written is charged, and from the first write on its connection may be closed to make room. An exchange can reserve the memory of a response before it is read.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -82,6 +82,9 @@
 	ProgressTimeout time.Duration
 	// MaxBodyBytes limits the length of the response body.
 	MaxBodyBytes int64
+	// Reserve, if set, is called with the length of the response body before memory is
+	// allocated for it. If it returns an error the response is not read.
+	Reserve func(bytes int64) error
 }
 
 // Response is a complete HTTP response.
@@ -184,7 +187,7 @@
 	httpResp, err := c.transport.RoundTrip(req)
 	if err == nil {
 		var response *Response
-		if response, err = readResponse(httpResp, r.MaxBodyBytes); err == nil {
+		if response, err = readResponse(httpResp, &r); err == nil {
 			return response, nil
 		}
 	}
@@ -195,15 +198,21 @@
 }
 
 // readResponse reads the whole body, or fails if it has no declared length,
-// exceeds limit or ends early.
-func readResponse(resp *http.Response, limit int64) (*Response, error) {
+// exceeds its limit or ends early.
+func readResponse(resp *http.Response, r *Request) (*Response, error) {
 	defer resp.Body.Close()
+	limit := r.MaxBodyBytes
 	switch {
 	case resp.ContentLength < 0:
 		return nil, ErrNoContentLength
 	case resp.ContentLength > limit:
 		return nil, fmt.Errorf("%w: %d bytes, allowed %d", ErrResponseTooLarge, resp.ContentLength, limit)
 	}
+	if r.Reserve != nil {
+		if err := r.Reserve(resp.ContentLength); err != nil {
+			return nil, err
+		}
+	}
 	body := make([]byte, resp.ContentLength)
 	if _, err := io.ReadFull(resp.Body, body); err != nil {
 		return nil, err
--- a/host/caller.go
+++ b/host/caller.go
@@ -120,9 +120,8 @@
 // serveRequest waits for the reducer's answer to a request and records its duration.
 func (d *Daemon) serveRequest(r *http.Request, kind requestKind, event func(scheduler.Token) scheduler.Event) scheduler.Answer {
 	began := time.Now()
-	answered := ingress.PassOn(r)
+	ingress.PassOn(r)
 	a := d.await(r.Context(), event)
-	answered()
 	d.metrics.observeRequest(kind, a.Status, time.Since(began))
 	return a
 }
--- a/internal/ingress/budget/reducer.go
+++ b/internal/ingress/budget/reducer.go
@@ -15,13 +15,8 @@
 	"time"
 )
 
-const (
-	// largeRequestShare is the share of the sum that large requests may use.
-	largeRequestShare = 7.0 / 8
-	// minSlotTime is how long a connection may keep its slot although another one
-	// needs it. The request of an ordinary client arrives within this time.
-	minSlotTime = time.Second
-)
+// largeRequestShare is the share of the sum that large requests may use.
+const largeRequestShare = 7.0 / 8
 
 // Limits are the bounds of a listener.
 type Limits struct {
@@ -130,10 +125,11 @@
 }
 
 // open admits a connection. If all slots are taken, it replaces the connection that
-// holds most for longest, unless all have been there for a short time only.
+// holds most for longest. Connections that were opened a moment ago are not exempt:
+// clients that come back at once would take each slot before ordinary ones could.
 func (r *Reducer) open(id ID) {
 	if r.sockets >= r.limits.Connections {
-		victim := r.victim(minSlotTime)
+		victim := r.victim()
 		if victim == nil {
 			r.effects = append(r.effects, Refuse{ID: id})
 			return
@@ -182,7 +178,7 @@
 		if h == nil || r.missing(h) <= 0 {
 			return
 		}
-		if victim := r.victim(0); victim != nil && victim != h {
+		if victim := r.victim(); victim != nil && victim != h {
 			r.evict(victim)
 		} else {
 			r.refuse(h, false)
@@ -223,16 +219,16 @@
 	return needed - r.bound(h)
 }
 
-// victim returns the connection that holds most for longest among those that have held
-// it for at least minAge, or nil. Requests that were passed on are exempt.
-func (r *Reducer) victim(minAge time.Duration) *holder {
+// victim returns the connection that holds most for longest, or nil. Requests that were
+// passed on are exempt.
+func (r *Reducer) victim() *holder {
 	var worst *holder
 	worstScore := 0.0
 	for _, h := range r.holders {
-		age := r.now - h.since
-		if h.passedOn || h.opening || !h.hasSocket || age < minAge {
+		if h.passedOn || h.opening || !h.hasSocket {
 			continue
 		}
+		age := r.now - h.since
 		// With the added millisecond, the larger one of two new connections goes first.
 		score := float64(h.bytes()) * float64(age+time.Millisecond)
 		if score > worstScore {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -49,6 +49,9 @@
 		if c := l.gate.open(accepted); c != nil {
 			return c, nil
 		}
+		if counter := l.gate.cfg.RefusedConnections; counter != nil {
+			counter.Inc()
+		}
 		// Nothing was read or written, so no request is lost.
 		_ = accepted.Close()
 	}
@@ -94,8 +97,9 @@
 	inRequest bool
 	// unparsedBytes is the number of bytes that were read since the last request.
 	unparsedBytes int64
-	// headerBytes is the memory of the current request's header.
-	headerBytes int64
+	// headerBytes is the memory of the current request's header, bodyBytes what else
+	// the request holds.
+	headerBytes, bodyBytes int64
 }
 
 // Read implements net.Conn. Between two requests it charges the header that arrives.
@@ -153,7 +157,13 @@
 
 // resizeBody waits until the gate grants the memory of the current request besides its
 // header.
-func (c *conn) resizeBody(bytes int64) error { return c.resize(c.headerBytes + bytes) }
+func (c *conn) resizeBody(bytes int64) error {
+	if err := c.resize(c.headerBytes + bytes); err != nil {
+		return err
+	}
+	c.bodyBytes = bytes
+	return nil
+}
 
 // begin replaces the charge for the bytes of a header by that for its decoded form.
 func (c *conn) begin(r *http.Request) error {
@@ -178,7 +188,7 @@
 		// The connection has been closed to make room.
 		panic(http.ErrAbortHandler)
 	}
-	next.ServeHTTP(w, r)
+	next.ServeHTTP(&responseWriter{ResponseWriter: w, conn: c}, r)
 	if c.gate.cfg.BodyTimeout > 0 && r.ContentLength != 0 {
 		// The server reads the rest of the body before it serves the next request.
 		// An error means that the connection is closed.
@@ -186,6 +196,28 @@
 	}
 }
 
+// responseWriter charges the part of a response that is being written. Its connection
+// may be closed to make room from then on, since the client may not read.
+type responseWriter struct {
+	http.ResponseWriter
+	conn *conn
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(p []byte) (int, error) {
+	c := w.conn
+	c.gate.report(budget.Answered{ID: c.id})
+	if held := int64(len(p)); held > c.bodyBytes {
+		if err := c.resizeBody(held); err != nil {
+			return 0, err
+		}
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the writer for http.ResponseController.
+func (w *responseWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // headerMemory returns the memory of a request's decoded header.
 func headerMemory(r *http.Request) int64 {
 	n := len(r.RequestURI)
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -58,6 +58,8 @@
 	WriteTimeout time.Duration
 	// BodyTimeout, if set, bounds the time in which no byte of a body arrives.
 	BodyTimeout time.Duration
+	// RefusedConnections, if set, counts the connections that were not admitted.
+	RefusedConnections *metrics.Counter
 	// Metrics receives the gate's metrics.
 	Metrics *metrics.Set
 	// Log receives a line for each connection that is closed to make room.
@@ -160,7 +162,7 @@
 	g.evicted.Inc()
 	c := g.conns[e.ID]
 	g.cfg.Log.Info().Str("event", "client").Str("outcome", "evicted").Str("port", g.cfg.Port).Str("client", c.RemoteAddr().String()).
-		Int64("held_bytes", e.Bytes).Int64("held_ms", e.Age.Milliseconds()).Int64("sum_bytes", g.reducer.Sum()).Send()
+		Int64("held_bytes", e.Bytes).Int64("held_ms", e.Age.Milliseconds()).Int64("sum_bytes", g.reducer.Sum()).Msg("connection closed to make room")
 	c.abort()
 }
 
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -158,14 +158,11 @@
 }
 
 // PassOn reports that the request may take effect from now on. Its connection is not
-// closed to make room until the returned function is called.
-func PassOn(r *http.Request) (answered func()) {
-	c := connOf(r)
-	if c == nil {
-		return func() {}
+// closed to make room until the response is written.
+func PassOn(r *http.Request) {
+	if c := connOf(r); c != nil {
+		c.gate.report(budget.PassedOn{ID: c.id})
 	}
-	c.gate.report(budget.PassedOn{ID: c.id})
-	return func() { c.gate.report(budget.Answered{ID: c.id}) }
 }
 
 // Resize changes the memory that the current request holds besides its header.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -147,6 +147,9 @@
 	// ProgressTimeout is how long no byte may be transferred before the call
 	// is abandoned.
 	ProgressTimeout time.Duration
+	// Reserve, if set, is called with the length of the response before memory is
+	// allocated for it. If it returns an error the response is not read.
+	Reserve func(bytes int64) error
 }
 
 // Answer is the complete response to a call. Whatever its status, the worker has
@@ -164,7 +167,7 @@
 	resp, failure := c.http.Do(ctx, exchange.Request{
 		Method: http.MethodPost, URL: "http://" + address + wire.PathCall,
 		Header: callHeader(call), Body: call.Body,
-		ProgressTimeout: call.ProgressTimeout, MaxBodyBytes: MaxResponseBytes,
+		ProgressTimeout: call.ProgressTimeout, MaxBodyBytes: MaxResponseBytes, Reserve: call.Reserve,
 	})
 	if failure != nil {
 		return nil, exchangeError(address, failure)
