Bound what clients of an entry daemon hold

What callers saw: clients that stop short of the end of calls of 1 MiB, batches of 8 MiB or messages between hosts of 16 MiB took a daemon to several times the memory of its machine.

Cause: nothing bounded the sum over all connections. Connections beyond the limit were closed, whatever the others held and for however long.

A full set of connections admits a further one in place of the one that holds most for longest.

Tests: TestConnectionsAreBounded and TestPeersConnectWhileCallersUseAllConnections required that the second of two connections is closed at a limit of one. Now the first one, which holds its slot for longer, is closed; the tests require that exactly this limit holds, by waiting until one of the two is closed. TestWriteToStalledClientTimesOut has moved to internal/ingress with the code.

--- a/cmd/banyanrun-entry/main.go
+++ b/cmd/banyanrun-entry/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,6 +17,10 @@
 	"banyanrun.example/banyanrun/internal/cli"
 )
 
+// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the
+// memory of the machine. The rest is for socket buffers and the program itself.
+const memoryLimitFraction = 0.66
+
 // settings are the command's flags.
 type settings struct {
 	entry.Settings
@@ -36,6 +41,7 @@
 		fmt.Fprintln(os.Stderr, &entry.SettingError{Setting: "log-level", Value: set.LogLevel, Allowed: "debug, info, warn, error"})
 		return cli.ExitUsage
 	}
+	debug.SetMemoryLimit(int64(float64(set.MemoryMB<<20) * memoryLimitFraction))
 	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/core/refusal.go
+++ b/core/refusal.go
@@ -41,6 +41,7 @@
 	ReasonInternal         Reason = "internal"
 	ReasonUnknownPath      Reason = "unknown_path"
 	ReasonUnknownMethod    Reason = "unknown_method"
+	ReasonMemory           Reason = "memory"
 )
 
 // Refusal is the error returned to a caller whose request was not carried out. The
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -10,6 +10,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/upstream"
 	"banyanrun.example/banyanrun/wire"
 )
@@ -44,7 +45,9 @@
 	w.Header().Set(wire.HeaderRequestID, id)
 	c := upstream.Call{
 		RequestID: id, Team: team, Kind: kind, Body: body, ProgressTimeout: rules.ProgressTimeout,
+		Reserve: func(bytes int64) error { return ingress.Resize(r, int64(len(body))+bytes) },
 	}
+	ingress.PassOn(r)
 	plan := &core.CallPlan{Rules: rules, Began: d.clock.now()}
 	if rules.Idempotent {
 		ctx, cancel := context.WithTimeout(r.Context(), rules.Deadline)
--- /dev/null
+++ b/entry/ingress.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/internal/ingress"
+)
+
+// Shares of the memory of the machine for what clients hold.
+const (
+	callerMemoryShare = 0.40
+	peerMemoryShare   = 0.15
+)
+
+// Sizes of the kernel's buffers for a connection.
+const (
+	callerReceiveBuffer, callerSendBuffer = 16 << 10, 8 << 10
+	peerReceiveBuffer, peerSendBuffer     = 32 << 10, 8 << 10
+)
+
+// newGate returns a gate for one of the daemon's listeners.
+func (d *Daemon) newGate(port string, memoryShare float64, connections, receive, send int, refusedMetric string) *ingress.Gate {
+	return ingress.NewGate(ingress.Config{
+		Port: port, Bytes: int64(memoryShare * float64(d.settings.MemoryMB<<20)), Connections: connections,
+		ReceiveBuffer: receive, SendBuffer: send, TLS: d.keys != nil, WriteTimeout: writeTimeout,
+		Metrics: d.metrics, RefusedConnections: d.metrics.GetOrCreateCounter(refusedMetric),
+		Log: d.limitedLogger("connection closed to make room"),
+	})
+}
+
+// readBody reads a request body of at most limit bytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *core.Refusal) {
+	data, err := ingress.ReadBody(w, r, limit)
+	if err != nil {
+		return nil, bodyRefusal(err)
+	}
+	return data, nil
+}
+
+// bodyRefusal returns the refusal of a request whose body cannot be read or decoded.
+// The request has not been passed on.
+func bodyRefusal(err error) *core.Refusal {
+	var tooLong *http.MaxBytesError
+	var refused *ingress.RefusedError
+	switch {
+	case errors.As(err, &tooLong):
+		return &core.Refusal{Reason: core.ReasonTooLarge, Message: fmt.Sprintf("body exceeds %d bytes", tooLong.Limit)}
+	case errors.As(err, &refused) && refused.TooLarge:
+		return &core.Refusal{Reason: core.ReasonTooLarge, Message: refused.Error()}
+	case errors.As(err, &refused):
+		return &core.Refusal{Reason: core.ReasonMemory, RetryAfter: ingress.RetryAfter, Message: refused.Error()}
+	}
+	return invalid("body cannot be read: %v", err)
+}
+
+// decodeBody decodes a body, whose request may take effect afterwards.
+func decodeBody(r *http.Request, decode func() *core.Refusal) *core.Refusal {
+	refusal := decode()
+	if refusal == nil {
+		ingress.PassOn(r)
+	}
+	return refusal
+}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -77,11 +77,16 @@
 		return
 	}
 	var req wire.JobRequest
-	if refusal := decodeStrict(body, &req); refusal != nil {
+	if refusal := decodeBody(r, func() *core.Refusal { return decodeStrict(body, &req) }); refusal != nil {
 		writeRefusal(w, refusal)
 		return
 	}
-	spec, refusal := d.newJobSpec(&req)
+	d.submitDecoded(w, r, body, &req)
+}
+
+// submitDecoded submits a job whose request has been decoded from body.
+func (d *Daemon) submitDecoded(w http.ResponseWriter, r *http.Request, body []byte, req *wire.JobRequest) {
+	spec, refusal := d.newJobSpec(req)
 	if refusal != nil {
 		writeRefusal(w, refusal)
 		return
@@ -108,10 +113,15 @@
 	body, refusal := readBody(w, r, maxBatchBody)
 	var batch wire.BatchRequest
 	if refusal == nil {
-		refusal = decodeStrict(body, &batch)
-	}
-	if refusal == nil && (len(batch.Jobs) == 0 || len(batch.Jobs) > maxBatchJobs) {
-		refusal = invalid("a batch has 1 to %d jobs, not %d", maxBatchJobs, len(batch.Jobs))
+		refusal = decodeBody(r, func() *core.Refusal {
+			if refusal := decodeStrict(body, &batch); refusal != nil {
+				return refusal
+			}
+			if len(batch.Jobs) == 0 || len(batch.Jobs) > maxBatchJobs {
+				return invalid("a batch has 1 to %d jobs, not %d", maxBatchJobs, len(batch.Jobs))
+			}
+			return nil
+		})
 	}
 	if refusal != nil {
 		writeRefusal(w, refusal)
@@ -131,13 +141,16 @@
 	if err != nil {
 		return wire.BatchResult{Error: wire.FromRefusal(invalid("job: %v", err))}
 	}
-	req, err := http.NewRequestWithContext(r.Context(), http.MethodPost, wire.PathJobs, bytes.NewReader(body))
+	if len(body) > maxJobBody {
+		return wire.BatchResult{Error: wire.FromRefusal(bodyRefusal(&http.MaxBytesError{Limit: maxJobBody}))}
+	}
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodPost, wire.PathJobs, nil)
 	if err != nil {
 		return wire.BatchResult{Error: wire.FromRefusal(invalid("job: %v", err))}
 	}
-	req.Header = r.Header.Clone()
+	req.Header = r.Header
 	resp := &bufferedResponse{header: http.Header{}}
-	d.submitJob(resp, req, nil)
+	d.submitDecoded(resp, req, body, j)
 	return resp.result()
 }
 
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/keys"
 )
 
@@ -22,63 +22,10 @@
 // does not read occupies memory and one of the slots for requests in progress.
 const writeTimeout = 30 * time.Second
 
-// boundedListener immediately closes accepted connections beyond a limit, so that
-// their clients try another host.
-type boundedListener struct {
-	net.Listener
-	slots        chan struct{}
-	refused      *metrics.Counter
-	writeTimeout time.Duration
-}
-
-// Accept implements net.Listener.
-func (l *boundedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.slots <- struct{}{}:
-			return &boundedConn{
-				Conn: conn, writeTimeout: l.writeTimeout, release: sync.OnceFunc(func() { <-l.slots }),
-			}, nil
-		default:
-			l.refused.Inc()
-			_ = conn.Close() // Nothing was written, so no data can be lost.
-		}
-	}
-}
-
-// boundedConn releases its slot when it is closed, and sets a deadline for each
-// write.
-type boundedConn struct {
-	net.Conn
-	writeTimeout time.Duration
-	release      func()
-}
-
-// Write implements net.Conn.
-func (c *boundedConn) Write(data []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(data)
-}
-
-// Close implements net.Conn.
-func (c *boundedConn) Close() error {
-	defer c.release()
-	return c.Conn.Close()
-}
-
-// wrapListener adds a connection limit to a listener, and TLS unless the daemon is
-// insecure. The metric counts the connections beyond the limit.
-func (d *Daemon) wrapListener(l net.Listener, limit int, metric string, config func(*keys.Store) *tls.Config) net.Listener {
-	bounded := &boundedListener{
-		Listener: l, slots: make(chan struct{}, limit), writeTimeout: writeTimeout,
-		refused: d.metrics.GetOrCreateCounter(metric),
-	}
+// wrapListener adds the bounds of a gate to a listener, and TLS unless the daemon is
+// insecure.
+func (d *Daemon) wrapListener(l net.Listener, gate *ingress.Gate, config func(*keys.Store) *tls.Config) net.Listener {
+	bounded := gate.Limit(l)
 	if d.keys == nil {
 		return bounded
 	}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -20,9 +20,16 @@
 		writeRefusal(w, refusal)
 		return
 	}
-	doc, _, err := document.Validate(body, nil)
-	if err != nil {
-		writeRefusal(w, invalid("document: %v", err))
+	var doc *core.Document
+	refusal = decodeBody(r, func() *core.Refusal {
+		var err error
+		if doc, _, err = document.Validate(body, nil); err != nil {
+			return invalid("document: %v", err)
+		}
+		return nil
+	})
+	if refusal != nil {
+		writeRefusal(w, refusal)
 		return
 	}
 	team := core.TeamName(p.ByName("team"))
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -96,8 +96,14 @@
 		return
 	}
 	var m M
-	if err := json.Unmarshal(data, &m); err != nil {
-		writeRefusal(w, invalid("peer message is not valid: %v", err))
+	refusal = decodeBody(r, func() *core.Refusal {
+		if err := json.Unmarshal(data, &m); err != nil {
+			return invalid("peer message is not valid: %v", err)
+		}
+		return nil
+	})
+	if refusal != nil {
+		writeRefusal(w, refusal)
 		return
 	}
 	d.post(r.Context(), event(m))
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -221,21 +220,6 @@
 	return &core.Refusal{Reason: core.ReasonInvalid, Message: fmt.Sprintf(format, args...)}
 }
 
-// readBody reads a request body of at most limit bytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *core.Refusal) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, &core.Refusal{
-			Reason: core.ReasonTooLarge, Message: fmt.Sprintf("body exceeds %d bytes", limit),
-		}
-	case err != nil:
-		return nil, invalid("body cannot be read: %v", err)
-	}
-	return data, nil
-}
-
 func (d *Daemon) writeMetrics(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	d.metrics.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
--- a/entry/servers.go
+++ b/entry/servers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 
 	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/internal/drain"
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/keys"
 )
 
@@ -22,11 +24,11 @@
 
 // listenPeers opens the listener for peers. It returns nil if peers use the
 // callers' address.
-func listenPeers(settings Settings) (net.Listener, error) {
+func listenPeers(settings Settings, gate *ingress.Gate) (net.Listener, error) {
 	if settings.PeerListen == settings.Listen {
 		return nil, nil
 	}
-	l, err := net.Listen("tcp", settings.PeerListen)
+	l, err := gate.Listen(context.Background(), settings.PeerListen)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", settings.PeerListen, err)
 	}
@@ -42,12 +44,14 @@
 }
 
 // newServer returns an HTTP server with the daemon's limits. serve starts it.
-func (d *Daemon) newServer(handler http.Handler) *http.Server {
-	return &http.Server{
+func (d *Daemon) newServer(handler http.Handler, gate *ingress.Gate) *http.Server {
+	s := &http.Server{
 		Handler: d.closeStaleConnections(handler), MaxHeaderBytes: serverMaxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		ConnContext: d.connContext, ErrorLog: d.connectionErrorLog(),
 	}
+	gate.Configure(s)
+	return s
 }
 
 // serve starts the HTTP servers. A server that fails sends its error to failed,
@@ -59,9 +63,9 @@
 	if d.keys == nil {
 		d.log.Warn().Msg("TLS is disabled by --insecure: every client has full access")
 	}
-	serveListener(d.server, d.wrapListener(d.listener, d.settings.MaxConnections, "banyanrun_connections_refused_total", (*keys.Store).ServerConfig), d.listener)
+	serveListener(d.server, d.wrapListener(d.listener, d.gate, (*keys.Store).ServerConfig), d.listener)
 	if d.peerListener != nil {
-		serveListener(d.peerServer, d.wrapListener(d.peerListener, maxPeerConnections, "banyanrun_peer_connections_refused_total", (*keys.Store).PeerServerConfig), d.peerListener)
+		serveListener(d.peerServer, d.wrapListener(d.peerListener, d.peerGate, (*keys.Store).PeerServerConfig), d.peerListener)
 	}
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -19,6 +19,9 @@
 // certificate files for changes.
 const defaultKeysCheckInterval = 10 * time.Second
 
+// Allowed values of the memory, in MiB. With less, the largest batch could not be served.
+const minMemoryMB, maxMemoryMB = 128, 1 << 20
+
 // Settings are the daemon's settings. go-flags reads the struct tags.
 type Settings struct {
 	Host       string `long:"host" env:"BANYANRUN_HOST" description:"name of this entry host, unique among all entry hosts"`
@@ -39,7 +42,8 @@
 	DrainTimeout  time.Duration `long:"drain-timeout" env:"BANYANRUN_DRAIN_TIMEOUT" default:"60s" description:"maximum duration of a graceful shutdown"`
 	MaxRequests   int           `long:"max-requests" env:"BANYANRUN_MAX_REQUESTS" default:"4096" description:"maximum number of caller requests in progress"`
 
-	MaxConnections int `long:"max-connections" env:"BANYANRUN_MAX_CONNECTIONS" description:"maximum number of open connections; further ones are closed immediately; twice --max-requests if 0"`
+	MaxConnections int `long:"max-connections" env:"BANYANRUN_MAX_CONNECTIONS" description:"maximum number of open connections; a further one replaces the connection that holds most for longest, or is closed immediately if all wait for answers; twice --max-requests if 0"`
+	MemoryMB       int `long:"memory-mb" env:"BANYANRUN_MEMORY_MB" default:"2048" description:"memory of the machine in MiB, of which callers hold at most 40% and other hosts 15%"`
 
 	Cert      string        `long:"cert" env:"BANYANRUN_CERT" description:"PEM file with this host's certificate"`
 	Key       string        `long:"key" env:"BANYANRUN_KEY" description:"PEM file with the private key of the certificate"`
@@ -148,6 +152,9 @@
 	if s.MaxConnections == 0 {
 		s.MaxConnections = 2 * s.MaxRequests
 	}
+	if s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB {
+		return &SettingError{"memory-mb", fmt.Sprint(s.MemoryMB), fmt.Sprintf("%d to %d", minMemoryMB, maxMemoryMB)}
+	}
 	if s.MaxConnections < 1 || s.MaxConnections > 1<<21 {
 		return &SettingError{"max-connections", fmt.Sprint(s.MaxConnections), "1 to 2097152"}
 	}
