Count requests as in progress once their body is complete

Cause: a request took its slot before its body was read.

Change: a request with a body takes its slot when the body is complete. What unfinished bodies hold is bounded by the memory for clients.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -31,12 +31,16 @@
 	})
 }
 
-// readBody reads a request body of at most limit bytes.
+// readBody reads a request body of at most limit bytes. The request counts as in
+// progress once its body is complete.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *core.Refusal) {
 	data, err := ingress.ReadBody(w, r, limit)
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
+	if slot := requestSlotOf(r); slot != nil {
+		return data, slot.take()
+	}
 	return data, nil
 }
 
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -132,22 +132,6 @@
 	return out
 }
 
-// limitRequests refuses requests beyond the limit on requests in progress.
-func (d *Daemon) limitRequests(next httprouter.Handle) httprouter.Handle {
-	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-		select {
-		case d.requestSlots <- struct{}{}:
-			defer func() { <-d.requestSlots }()
-			next(w, r, p)
-		default:
-			writeRefusal(w, &core.Refusal{
-				Reason: core.ReasonQueueFull, RetryAfter: time.Second,
-				Message: fmt.Sprintf("limit of %d requests in progress reached", cap(d.requestSlots)),
-			})
-		}
-	}
-}
-
 // handlePanic responds to a request whose handler panicked. http.ErrAbortHandler is
 // passed on, since it closes the connection on purpose.
 func (d *Daemon) handlePanic(w http.ResponseWriter, r *http.Request, recovered any) {
