--- a/entry/badinput_test.go
+++ b/entry/badinput_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -319,25 +318,22 @@
 // against one that keeps refusing requests after its limit was reached once.
 func TestRequestsInProgressAreBounded(t *testing.T) {
 	h := startHost(t)
-	program := base64.StdEncoding.EncodeToString([]byte(`{"run_ms": 4000}`))
-	if resp, body := h.do(submitRequest(`{"id": "held", "team": "team", "kind": "batch", "payload": "` + program + `"}`)); resp.StatusCode != http.StatusAccepted {
-		t.Fatalf("submit: %d %s", resp.StatusCode, body)
-	}
-	var waits []net.Conn
+	const program = `{"run_ms": 3000}`
+	var held []net.Conn
 	for range maxRequests {
 		conn := h.dial()
-		fmt.Fprint(conn, "GET /v1/jobs/held/wait HTTP/1.1\r\nHost: test\r\n\r\n")
-		waits = append(waits, conn)
-	}
-	var resp *http.Response
-	var body []byte
-	for range maxPolls {
-		// The waits are in progress soon after they were sent.
-		if resp, body = h.do(httpRequest{path: "/v1/teams"}); resp.StatusCode != http.StatusOK {
-			break
+		fmt.Fprintf(conn, "POST /v1/call/team/lookup HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n\r\n%s", len(program), program)
+		held = append(held, conn)
+	}
+	// A request to the daemon would itself count as in progress, so the workers tell when
+	// the calls are.
+	for polls := 0; h.runningCalls() < maxRequests; polls++ {
+		if polls > maxPolls {
+			t.Fatal("the calls do not run")
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(pollInterval)
 	}
+	resp, body := h.do(httpRequest{path: "/v1/teams"})
 	wantRefusal(t, resp, body, http.StatusTooManyRequests, core.ReasonQueueFull)
 	if resp.Header.Get("Retry-After") == "" {
 		t.Error("refusal has no Retry-After")
@@ -349,15 +345,33 @@
 			t.Errorf("%s returns %d at the limit, want 200", path, resp.StatusCode)
 		}
 	}
-	for _, conn := range waits {
-		held, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil || held.StatusCode != http.StatusOK {
-			t.Fatalf("response to the request in progress is %v, error %v; want 200", held, err)
+	for _, conn := range held {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || response.StatusCode != http.StatusOK {
+			t.Fatalf("response to the request in progress is %v, error %v; want 200", response, err)
 		}
 	}
 	h.wantResponsive()
 }
 
+// runningCalls returns the number of interactive requests that run at the workers.
+func (h *testHost) runningCalls() int {
+	h.t.Helper()
+	ledger, err := h.standin.Ledger(context.Background())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	n := 0
+	for _, w := range ledger.Workers {
+		for _, e := range w.Entries {
+			if e.Entry == "call" && e.EndUnixUS == 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Guards against clients that do not finish their requests and thereby keep ordinary
 // ones from being served.
 func TestUnfinishedRequestsAreNotInProgress(t *testing.T) {
