Charge what bodies become when an entry daemon decodes them

What callers saw: four batches of 8 MiB with many empty jobs took a daemon to 2,208 MB, ten batches of large jobs to 548 MB, and two messages between hosts with many empty documents to 1,837 MB.

Cause: an empty job takes three bytes of a batch and 72 bytes in memory, and all of them were decoded before their number was checked.

Change: bodies are decoded within the memory for clients (ingress.Decode), and what a request keeps while it waits stays reserved.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -60,9 +60,17 @@
 	return invalid("body cannot be read: %v", err)
 }
 
-// decodeBody decodes a body, whose request may take effect afterwards.
-func decodeBody(r *http.Request, decode func() *core.Refusal) *core.Refusal {
-	refusal := decode()
+// decodeBody decodes a body into v within the memory for clients. Afterwards the request
+// holds kept times the length of the body, and may take effect.
+func decodeBody(r *http.Request, body []byte, kept int64, decode func() *core.Refusal) *core.Refusal {
+	var refusal *core.Refusal
+	err := ingress.Decode(r, body, func() error {
+		refusal = decode()
+		return nil
+	}, func() int64 { return kept * int64(len(body)) })
+	if refusal == nil && err != nil {
+		refusal = bodyRefusal(err)
+	}
 	if refusal == nil {
 		ingress.PassOn(r)
 	}
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -17,6 +17,11 @@
 	"banyanrun.example/banyanrun/wire"
 )
 
+// Memory that a request holds while it waits for its answer, as a multiple of the length
+// of its body: a job with its payload, and a batch with its payloads, the bodies with
+// which its jobs are forwarded, and the goroutines that wait for them.
+const keptJob, keptBatch = 2, 4
+
 // maxIDBytes bounds the length of a job id or request id.
 const maxIDBytes = 128
 
@@ -77,7 +82,7 @@
 		return
 	}
 	var req wire.JobRequest
-	if refusal := decodeBody(r, func() *core.Refusal { return decodeStrict(body, &req) }); refusal != nil {
+	if refusal := decodeBody(r, body, keptJob, func() *core.Refusal { return decodeStrict(body, &req) }); refusal != nil {
 		writeRefusal(w, refusal)
 		return
 	}
@@ -113,7 +118,7 @@
 	body, refusal := readBody(w, r, maxBatchBody)
 	var batch wire.BatchRequest
 	if refusal == nil {
-		refusal = decodeBody(r, func() *core.Refusal {
+		refusal = decodeBody(r, body, keptBatch, func() *core.Refusal {
 			if refusal := decodeStrict(body, &batch); refusal != nil {
 				return refusal
 			}
--- a/entry/operator.go
+++ b/entry/operator.go
@@ -12,6 +12,9 @@
 	"banyanrun.example/banyanrun/wire"
 )
 
+// keptDocument is the memory of a decoded document as a multiple of its length.
+const keptDocument = 3
+
 // putDocument applies an operator's edit of a document. The response is sent once
 // the store has accepted the edit.
 func (d *Daemon) putDocument(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
@@ -21,7 +24,7 @@
 		return
 	}
 	var doc *core.Document
-	refusal = decodeBody(r, func() *core.Refusal {
+	refusal = decodeBody(r, body, keptDocument, func() *core.Refusal {
 		var err error
 		if doc, _, err = document.Validate(body, nil); err != nil {
 			return invalid("document: %v", err)
--- a/entry/peer.go
+++ b/entry/peer.go
@@ -24,6 +24,8 @@
 )
 
 const (
+	// keptPeerMessage is the memory of a decoded message as a multiple of its length.
+	keptPeerMessage = 3
 	// peerTimeout bounds one message to a peer. Heartbeats are sent every
 	// second, so there is no use in delivering a late one.
 	peerTimeout = 2 * time.Second
@@ -96,7 +98,7 @@
 		return
 	}
 	var m M
-	refusal = decodeBody(r, func() *core.Refusal {
+	refusal = decodeBody(r, data, keptPeerMessage, func() *core.Refusal {
 		if err := json.Unmarshal(data, &m); err != nil {
 			return invalid("peer message is not valid: %v", err)
 		}
--- a/integration/crowd/entry_test.go
+++ b/integration/crowd/entry_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"banyanrun.example/banyanrun/core"
 	"banyanrun.example/banyanrun/integration/cluster"
 	"banyanrun.example/banyanrun/internal/testaddr"
 	"banyanrun.example/banyanrun/wire"
@@ -65,6 +66,8 @@
 		{name: "batches in large chunks without their end", clients: 40, request: post(wire.PathJobsBatch, text, func(r *request) {
 			r.chunkBytes, r.omittedBytes = 1<<20, chunkedEndBytes
 		})},
+		{name: "whole batches of empty jobs", clients: 4, request: post(wire.PathJobsBatch, repeated(`{"jobs":[`, "{},", "]}", maxBatchBytes), unchanged)},
+		{name: "whole batches of large jobs", clients: 10, request: post(wire.PathJobsBatch, largeBatch(t), unchanged)},
 		{name: "many header lines without their end", clients: 500, request: request{
 			method: http.MethodGet, path: "/", host: "entry", header: headerLines(2600 * 3), omittedBytes: len("\r\n"),
 		}},
@@ -74,9 +77,27 @@
 			request: post(wire.PathJobs, []byte("{}"), returning)},
 		{name: "messages between hosts without their last byte", clients: 30, toPeers: true,
 			request: post("/peer/v1/documents", bytes.Repeat([]byte(" "), maxEntryPeerBytes), unfinished)},
+		{name: "whole messages between hosts of empty documents", clients: 2, toPeers: true,
+			request: post("/peer/v1/documents", repeated(`{"Versions":[`, "{},", "]}", maxEntryPeerBytes), unchanged)},
 	}
 }
 
+// largeBatch returns a batch of jobs with payloads of nearly the allowed length.
+func largeBatch(t *testing.T) []byte {
+	var batch wire.BatchRequest
+	payload := make([]byte, 60<<10)
+	for i := range maxBatchBytes / (len(payload)*4/3 + 200) {
+		batch.Jobs = append(batch.Jobs, wire.JobRequest{
+			ID: core.JobID(fmt.Sprintf("large-%d", i)), Team: cluster.Team, Kind: cluster.KindBatch, Payload: payload,
+		})
+	}
+	body, err := json.Marshal(batch)
+	if err != nil || len(body) > maxBatchBytes {
+		t.Fatalf("a batch of %d bytes, %v", len(body), err)
+	}
+	return body
+}
+
 // TestEntrySurvivesCrowds guards against clients that end or hang an entry daemon: with
 // many bodies of legal size, whole or unfinished, with many connections, or at the port
 // for other hosts.
