--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -60,8 +60,8 @@
 	return invalid("body cannot be read: %v", err)
 }
 
-// decodeBody decodes a body into v within the memory for clients. Afterwards the request
-// holds kept times the length of the body, and may take effect.
+// decodeBody runs decode, which decodes a body, within the memory for clients. Afterwards
+// the request holds kept times the length of the body, and may take effect.
 func decodeBody(r *http.Request, body []byte, kept int64, decode func() *core.Refusal) *core.Refusal {
 	var refusal *core.Refusal
 	err := ingress.Decode(r, body, func() error {
--- a/host/caller.go
+++ b/host/caller.go
@@ -79,11 +79,11 @@
 		d.rejectRequest(w, e.Job, fmt.Errorf("read the body: %w", err))
 		return
 	}
-	err = ingress.Decode(r, body, func() error {
+	parse := func() (err error) {
 		e.Spec, err = platform.ParseJob(body)
 		return err
-	}, func() int64 { return e.Spec.FootprintBytes() })
-	if err != nil {
+	}
+	if err := ingress.Decode(r, body, parse, func() int64 { return e.Spec.FootprintBytes() }); err != nil {
 		d.rejectRequest(w, e.Job, err)
 		return
 	}
--- a/host/ingress.go
+++ b/host/ingress.go
@@ -12,9 +12,9 @@
 	"banyanrun.example/banyanrun/internal/ingress"
 )
 
-// Shares of a host's memory for what the clients of each port may hold. In a burst with
-// a slow store, the other hosts of a deployment of 34 have more than a thousand requests
-// in progress at the owner, each on a connection of its own.
+// Shares of a host's memory for what the clients of each port may hold. The other hosts
+// of a deployment of 31 open more than 600 connections to the owner in a burst, one for
+// each request in progress.
 const (
 	callerMemoryShare   = 0.16
 	peerMemoryShare     = 0.16
@@ -71,9 +71,10 @@
 	// Each connection has at most one request in progress, so the requests of all
 	// clients leave room in the mailbox for the host's own events.
 	fds = min(fds, mailboxSize)
+	forSockets := max(fds-reservedFDs, fds/2)
 	gate := func(port string, memoryShare, fdShare float64, receive, send int) *ingress.Gate {
 		return ingress.NewGate(ingress.Config{
-			Port: port, Bytes: int64(memoryShare * float64(memoryMB<<20)), Connections: int(fdShare * float64(fds-reservedFDs)),
+			Port: port, Bytes: int64(memoryShare * float64(memoryMB<<20)), Connections: int(fdShare * float64(forSockets)),
 			ReceiveBuffer: receive, SendBuffer: send, WriteTimeout: clientWriteTimeout, BodyTimeout: clientBodyTimeout,
 			Metrics: d.metrics.set, Log: d.clientLog,
 		})
