Keep cancellations in progress and check charges under TLS

A cancellation of an entry daemon may take effect once it was passed on, so its connection is not closed to make room until it is answered. Reads and waits still may be. TestEncryptedRequestsAreCharged guards against a gate that does not find its connection below TLS.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/iter"
 
 	"banyanrun.example/banyanrun/core"
+	"banyanrun.example/banyanrun/internal/ingress"
 	"banyanrun.example/banyanrun/wire"
 )
 
@@ -275,6 +276,7 @@
 // cancelAuthorized cancels a job for a caller that may cancel jobs of its team. The
 // response is sent once the outcome of the job is certain.
 func (d *Daemon) cancelAuthorized(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	ingress.PassOn(r)
 	d.askReducer(w, r, reducerRequest{
 		timeout: defaultReplyTimeout,
 		newEvent: func(id core.RequestID) core.EventBody {
--- a/internal/ingress/gate.go
+++ b/internal/ingress/gate.go
@@ -98,11 +98,7 @@
 		evicted: cfg.Metrics.GetOrCreateCounter(`banyanrun_client_evictions_total{port="` + cfg.Port + `"}`),
 		refused: cfg.Metrics.GetOrCreateCounter(`banyanrun_client_memory_refusals_total{port="` + cfg.Port + `"}`),
 	}
-	cfg.Metrics.GetOrCreateGauge(`banyanrun_client_memory_bytes{port="`+cfg.Port+`"}`, func() float64 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return float64(g.reducer.Sum())
-	})
+	cfg.Metrics.GetOrCreateGauge(`banyanrun_client_memory_bytes{port="`+cfg.Port+`"}`, func() float64 { return float64(g.sum()) })
 	cfg.Metrics.GetOrCreateGauge(`banyanrun_client_connections{port="`+cfg.Port+`"}`, func() float64 {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -111,6 +107,13 @@
 	return g
 }
 
+// sum returns what all clients hold.
+func (g *Gate) sum() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reducer.Sum()
+}
+
 // newID returns an ID for a holder.
 func (g *Gate) newID() budget.ID {
 	g.mu.Lock()
--- a/internal/ingress/gate_test.go
+++ b/internal/ingress/gate_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -137,9 +138,7 @@
 	}
 	http.DefaultClient.CloseIdleConnections()
 	waitFor(t, "all charges are released", func() bool {
-		s.gate.mu.Lock()
-		defer s.gate.mu.Unlock()
-		return s.gate.reducer.Sum() == 0
+		return s.gate.sum() == 0
 	})
 }
 
@@ -184,6 +183,29 @@
 	waiting.Wait()
 }
 
+// Guards against encrypted connections whose requests are not charged.
+func TestEncryptedRequestsAreCharged(t *testing.T) {
+	g := NewGate(Config{
+		Port: "test", Bytes: 2 << 20, Connections: 100, TLS: true, WriteTimeout: testTimeout, Metrics: metrics.NewSet(), Log: zerolog.Nop(),
+	})
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		before := g.sum()
+		body, err := ReadBody(w, r, testBodyLimit)
+		if charged := g.sum() - before; err != nil || charged < int64(len(body)) {
+			t.Errorf("a body of %d bytes is charged with %d, %v", len(body), charged, err)
+		}
+	}))
+	server.Listener = g.Limit(server.Listener)
+	g.Configure(server.Config)
+	server.StartTLS()
+	defer server.Close()
+	resp, err := server.Client().Post(server.URL, "text/plain", strings.NewReader(strings.Repeat("x", 100<<10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+}
+
 // Guards against answers that clients do not read and that hold the memory which ordinary
 // requests need.
 func TestOrdinaryRequestsPassBesideUnreadAnswers(t *testing.T) {
