--- a/review/standin3/case_lasting.go
+++ b/review/standin3/case_lasting.go
@@ -11,7 +11,7 @@
 // sound workers have room for all tasks of the service many times over.
 func lastingTaskWaits(rec *record, trouble bool) (verdict, error) {
 	const (
-		tasks = 8
+		tasks = 12
 		// The rule allows 6 s after a run, and 3 s without one.
 		allowed  = 9 * time.Second
 		playTime = 100 * time.Second
@@ -46,7 +46,7 @@
 	time.Sleep(2 * time.Second)
 	spec := taskSpec{}
 	if trouble {
-		spec = taskSpec{FailMinMS: 8000, FailMaxMS: 16000}
+		spec = taskSpec{FailMinMS: 5000, FailMaxMS: 12000}
 	}
 	id := newID()
 	if status := f.submit(0, "q0", id, jobBody(spec, step{Count: tasks, CPU: 1000, MemMB: 100, Constraints: "b", LongRunning: true})); status != http.StatusOK {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,6 +23,7 @@
 	"snapshot-without-end":  snapshotWithoutEnd,
 	"pending-after-refusal": pendingAfterRefusal,
 	"lasting-task-waits":    lastingTaskWaits,
+	"pace-answer-lost":      paceAnswerLost,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -26,15 +26,6 @@
 	ends time.Time
 }
 
-// accessMode is how the store treats the calls of one host.
-type accessMode int
-
-const (
-	accessOpen accessMode = iota
-	// accessSilent means that calls are lost: they have no effect and no response.
-	accessSilent
-)
-
 // store is a stand-in for the platform's metadata store. Each host reaches it at an
 // address of its own, so that the path of a single host can be cut.
 type store struct {
@@ -44,7 +35,6 @@
 	history []item
 	leases  map[int64]*lease
 	changed chan struct{}
-	access  map[string]accessMode
 	// answerDelay is the time that a response takes for each host.
 	answerDelay map[string]time.Duration
 	// onWrite, if set, is called under the lock for each key that a host has written.
@@ -54,7 +44,7 @@
 func newStore() *store {
 	s := &store{
 		rev: 1, items: map[string]*item{}, leases: map[int64]*lease{}, changed: make(chan struct{}),
-		access: map[string]accessMode{}, answerDelay: map[string]time.Duration{},
+		answerDelay: map[string]time.Duration{},
 	}
 	go func() {
 		for range time.Tick(5 * time.Millisecond) {
@@ -142,18 +132,6 @@
 	return nil
 }
 
-func (s *store) setAccess(host string, mode accessMode) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.access[host] = mode
-}
-
-func (s *store) accessOf(host string) (accessMode, time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.access[host], s.answerDelay[host]
-}
-
 // handler returns the handler for the calls of one host.
 func (s *store) handler(host string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -161,17 +139,11 @@
 		if err != nil {
 			return
 		}
-		if mode, _ := s.accessOf(host); mode == accessSilent {
-			<-r.Context().Done()
-			return
-		}
 		status, out := s.call(r, host, body)
-		mode, delay := s.accessOf(host)
+		s.mu.Lock()
+		delay := s.answerDelay[host]
+		s.mu.Unlock()
 		time.Sleep(delay)
-		if mode == accessSilent {
-			<-r.Context().Done()
-			return
-		}
 		respond(w, status, out)
 	})
 }
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -74,8 +74,6 @@
 	server   *http.Server
 	// crashed means that the process of the worker has ended.
 	crashed bool
-	// cutToken is the lowest fencing token whose calls are lost on their way, 0 for none.
-	cutToken int64
 	// loseAnswer, if set, says whether the response to a call that was executed is lost.
 	loseAnswer func(path string, body callBody) bool
 	// usage, if set, returns the fifth entry of a row of active runs.
@@ -200,14 +198,7 @@
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.mu.Lock()
-	cut := w.cutToken != 0 && in.Token >= w.cutToken
-	w.mu.Unlock()
-	switch {
-	case cut:
-		<-r.Context().Done()
-		return
-	case r.Header.Get("X-Expect-Instance") != "" && r.Header.Get("X-Expect-Instance") != w.id:
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != w.id {
 		respond(out, http.StatusMisdirectedRequest, struct{}{})
 		return
 	}
