--- a/review/standin3/case_pace.go
+++ b/review/standin3/case_pace.go
@@ -34,7 +34,7 @@
 	shared := f.workers[0]
 	f.putConfig("q0", "q1")
 	for range 3 {
-		h, err := f.addHost(4 * time.Millisecond)
+		h, err := f.addHost(4*time.Millisecond, siteMemoryMB)
 		if err != nil {
 			return verdict{}, err
 		}
--- a/review/standin3/case_pending.go
+++ b/review/standin3/case_pending.go
@@ -31,7 +31,7 @@
 	}
 	f.putConfig("q0", "q1")
 	for range 3 {
-		h, err := f.addHost(4 * time.Millisecond)
+		h, err := f.addHost(4*time.Millisecond, siteMemoryMB)
 		if err != nil {
 			return verdict{}, err
 		}
--- a/review/standin3/case_snapshot.go
+++ b/review/standin3/case_snapshot.go
@@ -35,7 +35,7 @@
 	}
 	f.putConfig("q0")
 	for range 3 {
-		h, err := f.addHost(answerDelay)
+		h, err := f.addHost(answerDelay, siteMemoryMB)
 		if err != nil {
 			return verdict{}, err
 		}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,8 +22,8 @@
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"snapshot-without-end":  snapshotWithoutEnd,
 	"pending-after-refusal": pendingAfterRefusal,
-	"lasting-task-waits":    lastingTaskWaits,
 	"pace-answer-lost":      paceAnswerLost,
+	"smaller-host":          smallerHost,
 }
 
 func main() { os.Exit(run()) }
