Review case 13: timed jobs leave no memory for runs

Cause: overdue occurrences are opened up to the same memory budget that runs need, and nothing is kept for runs.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,6 +24,7 @@
 	"pending-after-refusal": pendingAfterRefusal,
 	"pace-answer-lost":      paceAnswerLost,
 	"smaller-host":          smallerHost,
+	"timed-jobs":            timedJobs,
 }
 
 func main() { os.Exit(run()) }
