--- a/review/standin3/case_memory.go
+++ b/review/standin3/case_memory.go
@@ -14,6 +14,7 @@
 		largeMB, smallMB = 536, 184
 		jobs, tasks      = 24, 20_000
 		workers, cpu     = 12, 16_000
+		taskCPU          = 1000
 		finish           = 14 * time.Second
 		watchTime        = 40 * time.Second
 	)
@@ -60,7 +61,7 @@
 		}
 	}
 	time.Sleep(finish)
-	watched := f.watchIdle(accepted, workers*cpu, watchTime)
+	watched := f.watchIdle(accepted, workers*cpu, taskCPU, watchTime)
 	states := map[string]int{}
 	for id := range accepted {
 		status, text := f.call(f.hosts[0], http.MethodGet, "/q0/"+id, nil)
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -60,11 +61,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{
+	f := &fleet{
 		rec: rec, store: newStore(), hist: &history{}, bounds: b, dir: dir, root: root,
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
 		stopped: make(chan struct{}),
-	}, nil
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		f.close()
+		os.Exit(2)
+	}()
+	return f, nil
 }
 
 // listen serves a handler on a free port of a loopback address.
@@ -267,25 +276,53 @@
 	})
 }
 
-// waitReady waits until all hosts answer the readiness check with 200.
+// waitReady waits until all hosts answer the readiness check with 200 and one of them is
+// the owner. As the platform does, it starts a process again that has exited.
 func (f *fleet) waitReady() error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		ready := 0
 		for _, h := range f.hosts {
-			if resp, err := f.client.Get("http://" + h.ready + "/v1/ready"); err == nil {
-				_ = resp.Body.Close()
-				if resp.StatusCode == http.StatusOK {
-					ready++
+			if h.hasExited() {
+				if err := f.start(h); err != nil {
+					return err
 				}
 			}
+			if f.readyStatus(h) == http.StatusOK {
+				ready++
+			}
 		}
 		if ready == len(f.hosts) && f.owner() != nil {
 			return nil
 		}
 	}
+	for _, h := range f.hosts {
+		log, _ := os.ReadFile(filepath.Join(f.dir, h.name+".log"))
+		f.rec.add("host %s: readiness %d, the end of its log: %s", h.name, f.readyStatus(h), log[max(0, len(log)-2000):])
+	}
 	return fmt.Errorf("the hosts were not ready within 15 s")
 }
 
+func (h *hostProcess) hasExited() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// readyStatus returns the status of the readiness check, 0 without an answer.
+func (f *fleet) readyStatus(h *hostProcess) int {
+	resp, err := f.client.Get("http://" + h.ready + "/v1/ready")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 const clientTimeout = 3 * time.Second
 
 // call makes a client's request and returns the status, 0 without an answer.
@@ -323,6 +360,7 @@
 	Constraints string `json:"constraints,omitempty"`
 	LongRunning bool   `json:"long_running,omitempty"`
 	Fills       bool   `json:"fills,omitempty"`
+	Gang        bool   `json:"gang,omitempty"`
 	Image       string `json:"image,omitempty"`
 	TargetMS    int64  `json:"target_ms,omitempty"`
 }
--- a/review/standin3/idle.go
+++ b/review/standin3/idle.go
@@ -13,8 +13,8 @@
 // idLength is the length of a job's id.
 const idLength = 16
 
-// watchIdle watches jobs of which tasks wait.
-func (f *fleet) watchIdle(jobs map[string]bool, capacity int64, d time.Duration) *idleJobs {
+// watchIdle watches jobs of which tasks wait. All running tasks need taskCPU.
+func (f *fleet) watchIdle(jobs map[string]bool, capacity, taskCPU int64, d time.Duration) *idleJobs {
 	const samplePeriod = 50 * time.Millisecond
 	watched := &idleJobs{idle: map[string]time.Duration{}, leastUsed: capacity}
 	since := map[string]time.Time{}
@@ -56,6 +56,3 @@
 	}
 	return n
 }
-
-// taskCPU is what a task of the cases that watch idle jobs needs.
-const taskCPU = 1000
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -24,7 +24,7 @@
 	"pending-after-refusal": pendingAfterRefusal,
 	"pace-answer-lost":      paceAnswerLost,
 	"smaller-host":          smallerHost,
-	"timed-jobs":            timedJobs,
+	"lost-worker":           lostWorkerBlocksAll,
 }
 
 func main() { os.Exit(run()) }
