Choose ports of the review's stand-in that differ

Cause: a host's ports were chosen one after the other, and could be in use when it started. Change: the listeners stay open until all ports of a host are chosen.

--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -88,13 +88,18 @@
 	return l.Addr().String(), nil
 }
 
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
+// freePorts sets the ports to different ones that are free.
+func freePorts(ip string, ports []int) error {
+	for i := range ports {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return err
+		}
+		// The listeners stay open until all ports are chosen, so that these differ.
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return nil
 }
 
 // addWorker adds a worker and begins its liveness reports.
@@ -147,10 +152,8 @@
 		return nil, err
 	}
 	var ports [3]int
-	for i := range ports {
-		if ports[i], err = freePort(h.ip); err != nil {
-			return nil, err
-		}
+	if err := freePorts(h.ip, ports[:]); err != nil {
+		return nil, err
 	}
 	h.front, h.ready = fmt.Sprintf("%s:%d", h.ip, ports[0]), fmt.Sprintf("%s:%d", h.ip, ports[1])
 	text := fmt.Sprintf(`node_name: %q
