--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,6 +4,6 @@
 dir="$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd)"
 cd "$dir/../.." || exit 2
 for program in target/banyanrun-host target/review-3-standin; do
-  [ -x "$program" ] || { echo "$program is missing: run the deploy file's build and review/build-3.sh"; exit 2; }
+  [ -x "$program" ] || { echo "$program is missing: it has to be built first"; exit 2; }
 done
 exec timeout 120 target/review-3-standin pending-after-refusal "$dir/record.txt"
