--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -110,7 +110,7 @@
 		policies: map[QueueName]*Queue{}, queueStats: map[QueueName]*queueStats{}, adviceCalls: map[CallID]*adviceCall{},
 		peers: []*peer{{}},
 		log: logWriter{
-			next: 1, lastOfJob: map[JobID]int64{}, groupBytes: min(maxGroupBytes, r.limits.maxStoreValue()-groupOverheadBytes),
+			next: 1, groupsPerSnapshot: snapshotGroups, lastOfJob: map[JobID]int64{}, groupBytes: min(maxGroupBytes, r.limits.maxStoreValue()-groupOverheadBytes),
 		},
 	}
 	c.refreshBudget()
--- a/scheduler/fakestore_test.go
+++ b/scheduler/fakestore_test.go
@@ -144,6 +144,9 @@
 	s.revision++
 	s.log[f.Group.Sequence], s.logRevisions[f.Group.Sequence] = value, s.revision
 	e.Revision = s.revision
+	if sim.onGroupStored != nil {
+		sim.onGroupStored(f.Group)
+	}
 	return e
 }
 
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -389,7 +389,11 @@
 	delete(fw.runs, r.id)
 	fw.maxEndedRun[r.id] = max(fw.maxEndedRun[r.id], r.number)
 	fw.lastEndNumber++
-	fw.ended = append(fw.ended, RunEnd{Number: fw.lastEndNumber, Task: r.id, Run: r.number, Kind: kind})
+	checkpoint := ""
+	if kind != EndDone && sim.jobs[r.id.Job].spec.Steps[r.id.Step].Checkpointing {
+		checkpoint = fmt.Sprintf("of run %d", r.number)
+	}
+	fw.ended = append(fw.ended, RunEnd{Number: fw.lastEndNumber, Task: r.id, Run: r.number, Kind: kind, Checkpoint: checkpoint})
 	if kind == EndDone {
 		sim.jobs[r.id.Job].done[r.id] = true
 	}
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -161,13 +161,15 @@
 	return o.stages[id.Step].tasks[id.Index]
 }
 
-// records returns the records of a job for a snapshot.
+// records returns the records of a job for a snapshot. A job that has ended in memory is
+// recorded as ended although its final record may still be pending: its tasks are no
+// longer in memory, so anything else would restore it as a job that has not begun.
 func (j *job) records(policy *Queue) []Record {
 	if !j.durable {
 		return nil
 	}
-	if j.reported.isTerminal() {
-		return []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Final: j.reported, FinalAt: j.endedWall}}
+	if j.state.isTerminal() {
+		return []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Final: j.state, FinalAt: j.endedWall}}
 	}
 	records := []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Spec: j.spec, Policy: policy, Cancelled: j.cancelled, Started: j.started}}
 	records = append(records, j.createdRecords()...)
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -136,6 +136,8 @@
 	// bytes is the memory of the records since the last snapshot, bytesBeforeSnapshot
 	// what it was when the snapshot in progress began.
 	bytes, bytesBeforeSnapshot int64
+	// groupsPerSnapshot is the number of groups after which a snapshot is written.
+	groupsPerSnapshot int64
 	// snapshot holds the groups of a snapshot that are still to be written.
 	snapshot []Group
 	// snapshotSequence is the sequence number of the first group of the last
@@ -320,13 +322,15 @@
 	l.endWrite(c.reducer)
 	l.next, l.lastRevision = g.Sequence+1, revision
 	if g.SnapshotLast {
+		c.logDecision(Decision{Kind: "log", Outcome: "snapshot_stored", Fields: []Field{
+			{"sequence", g.Sequence}, {"groups", int64(g.Snapshot)}, {"pending_records", int64(len(l.pending))}}})
 		l.bytes -= l.bytesBeforeSnapshot
 		c.deleteBefore(l.snapshotSequence)
 	}
 	if g.Snapshot == 0 {
 		l.durable += int64(len(g.Records))
 		c.runCallbacks()
-		if (l.next-l.first >= snapshotGroups || l.bytes >= c.budget.log) && !l.deleting && len(l.snapshot) == 0 {
+		if (l.next-l.first >= l.groupsPerSnapshot || l.bytes >= c.budget.log) && !l.deleting && len(l.snapshot) == 0 {
 			c.beginSnapshot()
 		}
 	}
@@ -338,16 +342,7 @@
 func (c *cell) beginSnapshot() {
 	l := &c.log
 	l.bytesBeforeSnapshot = l.bytes
-	var records []Record
-	for _, worker := range c.workersByID {
-		if worker.recorded {
-			info := worker.info
-			records = append(records, Record{Worker: &info})
-		}
-	}
-	for _, j := range c.jobOrder() {
-		records = append(records, j.records(c.queue(j.queue))...)
-	}
+	records := c.snapshotRecords()
 	l.snapshot = nil
 	for part := 1; ; part++ {
 		n, _ := groupLength(records, l.groupBytes)
@@ -360,6 +355,24 @@
 		}
 	}
 	l.snapshotSequence = l.next
+	c.logDecision(Decision{Kind: "log", Outcome: "snapshot_begun", Fields: []Field{
+		{"sequence", l.next}, {"groups", int64(len(l.snapshot))}, {"jobs", int64(len(c.jobs))}, {"pending_records", int64(len(l.pending))}}})
+}
+
+// snapshotRecords returns the records from which a successor restores the state. They
+// describe the workers and jobs as they are in memory, which is ahead of the log.
+func (c *cell) snapshotRecords() []Record {
+	var records []Record
+	for _, worker := range c.workersByID {
+		if worker.recorded {
+			info := worker.info
+			records = append(records, Record{Worker: &info})
+		}
+	}
+	for _, j := range c.jobOrder() {
+		records = append(records, j.records(c.queue(j.queue))...)
+	}
+	return records
 }
 
 // writeSnapshotPart writes the next group of the snapshot.
@@ -462,7 +475,8 @@
 			j = c.addJob(rec.Job, rec.Queue, &JobSpec{}, rec.Accepted)
 			j.durable = true
 		}
-		if j == nil {
+		if j == nil || j.state.isTerminal() {
+			// A snapshot can hold the end of a job before records that were pending then.
 			continue
 		}
 		c.applyCreated(j, rec)
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -28,7 +28,11 @@
 	violations  []string
 	// onDecision, if set, is called with each decision.
 	onDecision func(Decision)
-	debug      bool
+	// onGroupStored, if set, is called with each group of the log that the store has
+	// accepted. snapshotEvery, if not 0, is the number of groups between snapshots.
+	onGroupStored func(Group)
+	snapshotEvery int64
+	debug         bool
 	// wakes counts the Wake effects, adviceCalls the calls for advice by host.
 	wakes       int
 	adviceCalls map[string]int
@@ -281,6 +285,9 @@
 	if !h.alive || h.incarnation != incarnation {
 		return
 	}
+	if sim.snapshotEvery > 0 && h.r.cell != nil {
+		h.r.cell.log.groupsPerSnapshot = sim.snapshotEvery
+	}
 	for _, f := range h.r.Step(Input{At: sim.now, Wall: sim.wall(), Event: e}) {
 		sim.execute(h, incarnation, f)
 	}
