--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -122,6 +122,17 @@
 	return TaskID{Job: t.stage.job.id, Occurrence: t.stage.occ.index, Step: t.stage.index, Index: t.index}
 }
 
+// runs returns the current runs of the task.
+func (t *task) runs() []*run {
+	var runs []*run
+	for _, r := range []*run{t.run, t.speculativeRun} {
+		if r != nil {
+			runs = append(runs, r)
+		}
+	}
+	return runs
+}
+
 // stepName returns the name of the stage in calls to the advice service.
 func (s *stage) stepName() string {
 	return TaskID{Job: s.job.id, Occurrence: s.occ.index, Step: s.index}.StepName()
@@ -178,12 +189,12 @@
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
 			for _, run := range syntheticFailedRuns(s.gangFailures, s.failedRun) {
-				ends = append(ends, EndRecord{Occurrence: o.index, Step: s.index, Run: run, Kind: EndFailed})
+				ends = append(ends, EndRecord{Occurrence: o.index, Step: s.index, Index: s.endedMember(s.failedRun), Run: run, Kind: EndFailed})
 			}
 			for _, t := range s.tasks {
 				ends = append(ends, t.endRecords()...)
-				if t.run != nil {
-					starts = append(starts, StartRecord{o.index, s.index, t.index, t.run.number, t.run.worker.info.ID})
+				for _, r := range t.runs() {
+					starts = append(starts, StartRecord{o.index, s.index, t.index, r.number, r.worker.info.ID})
 				}
 			}
 		}
@@ -197,6 +208,12 @@
 	return records
 }
 
+// endedMember returns the index of a member of a gang whose run with a number has ended.
+// An end that a snapshot holds for another member would end that member's current run.
+func (s *stage) endedMember(number int64) int {
+	return max(0, slices.IndexFunc(s.tasks, func(t *task) bool { return t.run == nil || t.run.number > number }))
+}
+
 // createdRecords returns the records of a repeated job that say which of its occurrences
 // have been created and are not complete.
 func (j *job) createdRecords() []Record {
--- a/scheduler/lifecycle.go
+++ b/scheduler/lifecycle.go
@@ -118,11 +118,8 @@
 		// The other members end by themselves.
 		return
 	}
-	if t.run != nil {
-		c.stopRun(t.run)
-	}
-	if t.speculativeRun != nil {
-		c.stopRun(t.speculativeRun)
+	for _, r := range t.runs() {
+		c.stopRun(r)
 	}
 }
 
@@ -228,11 +225,8 @@
 				continue
 			}
 			for _, t := range s.tasks {
-				if t.run != nil {
-					c.stopRun(t.run)
-				}
-				if t.speculativeRun != nil {
-					c.stopRun(t.speculativeRun)
+				for _, r := range t.runs() {
+					c.stopRun(r)
 				}
 			}
 		}
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -532,8 +532,8 @@
 // dropTaskRuns drops the runs of a task that have ended according to a later record.
 // Runs of speculative tasks are kept: two of them can be active at a time.
 func (c *cell) dropTaskRuns(t *task) {
-	for _, r := range []*run{t.run, t.speculativeRun} {
-		if r != nil && !t.stage.step.Speculative {
+	for _, r := range t.runs() {
+		if !t.stage.step.Speculative {
 			c.releaseRun(r)
 			t.detachRun(r)
 		}
