Count a job as begun only once a worker has said so

Cause: job.started was set when a start was planned, and never reset. A start that was refused, reached nothing or was in doubt counted, and so did its record in the log for a successor.

Change: a worker's acceptance, its list of runs or an end that it lists sets the fact.

--- a/host/metrics.go
+++ b/host/metrics.go
@@ -22,6 +22,8 @@
 	decisionCounters map[decisionKey]*metrics.Counter
 	startWait        *metrics.Histogram
 	logLinesDropped  *metrics.Counter
+	// pendingJobs is the number of pending jobs while this host is the owner, otherwise 0.
+	pendingJobs *metrics.Gauge
 }
 
 type decisionKey struct{ kind, outcome, reason string }
@@ -32,6 +34,7 @@
 		set: set, decisionCounters: map[decisionKey]*metrics.Counter{},
 		startWait:       set.NewHistogram("banyanrun_task_start_wait_seconds"),
 		logLinesDropped: set.NewCounter("banyanrun_log_lines_left_out_total"),
+		pendingJobs:     set.NewGauge("banyanrun_pending_jobs", nil),
 	}
 }
 
@@ -51,6 +54,16 @@
 	if d.Kind == "start" && d.Outcome == "ordered" && len(d.Fields) > 0 {
 		m.startWait.Update(float64(d.Fields[0].Value) / 1000)
 	}
+	switch {
+	case d.Kind == "cell" && d.Outcome == "load":
+		for _, f := range d.Fields {
+			if f.Name == "pending_jobs" {
+				m.pendingJobs.Set(float64(f.Value))
+			}
+		}
+	case d.Kind == "owner" && d.Outcome == "stepped_down":
+		m.pendingJobs.Set(0)
+	}
 }
 
 // observeRequest counts a caller's request and records its duration.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -15,7 +15,7 @@
 func (c *cell) handleSubmit(e SubmitReceived) {
 	if j := c.jobs[e.Job]; j != nil {
 		if j.durable {
-			c.reply(e.Token, Answer{Status: StatusOK, State: j.reported})
+			c.reply(e.Token, Answer{Status: StatusOK, State: j.reportedState()})
 			return
 		}
 		j.submitWaiters = append(j.submitWaiters, e.Token)
@@ -129,11 +129,16 @@
 	})
 }
 
+// isPending reports whether the job is accepted and waits for its first start.
+func (j *job) isPending() bool {
+	return j.durable && !j.isEnding() && j.reportedState() == JobQueued
+}
+
 // pendingJobs returns the number of jobs of a queue of which no task has started.
 func (c *cell) pendingJobs(queue QueueName) int {
 	n := 0
 	for _, j := range c.jobList {
-		if j.queue == queue && j.durable && !j.started && !j.isEnding() {
+		if j.queue == queue && j.isPending() {
 			n++
 		}
 	}
--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -237,6 +237,10 @@
 	if r := fw.runs[s.Task]; r != nil && r.number == s.Run {
 		return e
 	}
+	if sim.faults.refuseStarts {
+		e.Result = OrderUnhealthy
+		return e
+	}
 	if fw.maxEndedRun[s.Task] >= s.Run || fw.runs[s.Task] != nil {
 		e.Result = OrderStaleRun
 		fw.extendLease(sim, s.Deadline)
--- a/scheduler/handover.go
+++ b/scheduler/handover.go
@@ -21,6 +21,7 @@
 	if !c.handingOver {
 		// No new work is started, so that the pending records get written.
 		c.handingOver, c.handoverSince, c.handoverReason = true, c.now, reason
+		c.recordStartedJobs()
 	}
 	if c.log.inFlight != nil || len(c.log.pending) > 0 {
 		return
--- a/scheduler/invariants_test.go
+++ b/scheduler/invariants_test.go
@@ -108,7 +108,6 @@
 	for _, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			sim := newSimulation(t, seed, 4, 8)
-			sim.debug = os.Getenv("SCHEDULER_DEBUG") != ""
 			sim.faults.failureRate = 0.03
 			scenario(sim)
 			sim.submitLoad(20*time.Second, 4)
--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -30,7 +30,8 @@
 	// terminal state is reported once it is in the store.
 	state, reported JobState
 	cancelled       bool
-	// started means that a task has started.
+	// started means that a worker has said that it has started a task. A start that is
+	// planned, under way or in doubt does not count.
 	started bool
 	// endedWall is when the job ended, in milliseconds since the Unix epoch.
 	endedWall int64
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -28,6 +28,12 @@
 			late++
 		}
 	}
+	pending := int64(0)
+	for _, j := range c.jobList {
+		if j.isPending() {
+			pending++
+		}
+	}
 	calls, busy := int64(len(c.adviceCalls)), int64(0)
 	for _, p := range c.peers {
 		if p.backlog > 0 && c.isAlive(p) {
@@ -35,7 +41,7 @@
 		}
 	}
 	c.logDecision(Decision{Kind: "cell", Outcome: "load", Fields: []Field{
-		{"generation", c.generation}, {"workers", usable}, {"jobs", int64(len(c.jobs))},
+		{"generation", c.generation}, {"workers", usable}, {"jobs", int64(len(c.jobs))}, {"pending_jobs", pending},
 		{"used_cpu", used.MilliCPU}, {"capacity_cpu", capacity.MilliCPU},
 		{"used_mem", used.MemoryMB}, {"capacity_mem", capacity.MemoryMB},
 		{"ready_stages", int64(len(c.ready))}, {"late_stages", late}, {"waiting_tasks", waiting},
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -21,16 +21,16 @@
 	// Starts are runs whose start is about to be ordered. A successor has to assume
 	// that they are active.
 	Starts []StartRecord `json:"starts,omitempty"`
-	// Cancelled means that the caller has requested cancellation. Final is the
-	// terminal state of the job.
+	// Cancelled means that the caller has requested cancellation.
 	Cancelled bool `json:"cancel,omitempty"`
 	// Created is the number of occurrences of a repeated job that have been created,
-	// Open lists those of them that are not complete. Started means that a task of the
-	// job has started. They are only set in snapshots.
-	Created int      `json:"created,omitempty"`
-	Open    []int    `json:"open,omitempty"`
-	Started bool     `json:"started,omitempty"`
-	Final   JobState `json:"final,omitempty"`
+	// Open lists those of them that are not complete. They are only set in snapshots.
+	Created int   `json:"created,omitempty"`
+	Open    []int `json:"open,omitempty"`
+	// Started means that a worker has started a task of the job. Ends imply it.
+	Started bool `json:"started,omitempty"`
+	// Final is the terminal state of the job.
+	Final JobState `json:"final,omitempty"`
 	// FinalAt is when the job ended, in milliseconds since the Unix epoch.
 	FinalAt int64 `json:"final_at,omitempty"`
 	// Worker is a worker that may run tasks from now on. WorkerGone is a worker on
@@ -133,6 +133,8 @@
 	// store. callbacks are in the order of the records that they wait for.
 	appended, durable int64
 	callbacks         []durableCallback
+	// started are the jobs whose first start is to be recorded with the next group.
+	started []*job
 	// bytes is the memory of the records since the last snapshot, bytesBeforeSnapshot
 	// what it was when the snapshot in progress began.
 	bytes, bytesBeforeSnapshot int64
@@ -255,6 +257,7 @@
 		}
 		return
 	}
+	c.recordStartedJobs()
 	n, size := groupLength(l.pending, l.groupBytes)
 	g := &Group{Sequence: l.next, Generation: c.generation, Records: l.pending[:n:n]}
 	l.pending = l.pending[n:]
@@ -265,6 +268,26 @@
 	c.writeGroup(g)
 }
 
+// noteStarted notes that a worker has started a task of a job. The next group records it,
+// whatever that is written for: a write of its own would be a further call for each job.
+func (c *cell) noteStarted(j *job) {
+	if !j.started {
+		j.started = true
+		c.log.started = append(c.log.started, j)
+	}
+}
+
+// recordStartedJobs adds the jobs that have started since the last group to the pending
+// records.
+func (c *cell) recordStartedJobs() {
+	for _, j := range c.log.started {
+		if !j.state.isTerminal() {
+			c.record(Record{Job: j.id, Started: true}, false)
+		}
+	}
+	c.log.started = nil
+}
+
 // writeGroup writes a group, or writes the group in flight once more.
 func (c *cell) writeGroup(g *Group) {
 	l := &c.log
@@ -479,6 +502,7 @@
 			// A snapshot can hold the end of a job before records that were pending then.
 			continue
 		}
+		j.started = j.started || rec.Started || len(rec.Ends) > 0
 		c.applyCreated(j, rec)
 		for _, s := range rec.Starts {
 			c.createThrough(j, s.Occurrence)
@@ -503,7 +527,6 @@
 	if rec.Created > j.created && j.spec.Repeat > 0 {
 		j.created = min(rec.Created, j.spec.Repeat)
 	}
-	j.started = j.started || rec.Started
 	for _, index := range rec.Open {
 		if index >= 0 && index < j.created {
 			c.createOccurrence(j, index)
@@ -521,7 +544,6 @@
 	}
 	t.lastRun = max(t.lastRun, s.Run)
 	t.stage.gangRun = max(t.stage.gangRun, s.Run)
-	j.started = true
 	if w == nil {
 		return
 	}
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -86,7 +86,6 @@
 		s.waiting--
 	}
 	t.lastRun = max(t.lastRun, number)
-	s.job.started = true
 	c.addRun(w, r)
 	s.countRun(w, 1)
 	c.freeCPU -= r.charge.MilliCPU
@@ -145,6 +144,7 @@
 			c.handleWorkerRestart(w, w.info.Born)
 		}
 		r.answeredAt = c.now
+		c.noteStarted(r.task.stage.job)
 		c.handleRunConfirmed(r)
 	case OrderInDoubt:
 		r.state = runInDoubt
--- a/scheduler/runreport.go
+++ b/scheduler/runreport.go
@@ -31,6 +31,9 @@
 
 // handleEnd handles one reported end.
 func (c *cell) handleEnd(w *worker, e RunEnd) {
+	if j := c.jobs[e.Task.Job]; j != nil {
+		c.noteStarted(j)
+	}
 	if r := w.runs[runKey{e.Task, e.Run}]; r != nil {
 		c.handleRunEnd(r, e.Kind, e.Checkpoint)
 		return
@@ -88,7 +91,6 @@
 	c.addRun(w, r)
 	t.stage.countRun(w, 1)
 	t.lastRun = max(t.lastRun, a.Run)
-	t.stage.job.started = true
 	if t.stage.step.Gang {
 		t.stage.gangRun = max(t.stage.gangRun, a.Run)
 	}
@@ -106,6 +108,9 @@
 // updateRun applies a worker's report of a run.
 func (c *cell) updateRun(r *run, a *ActiveRun) {
 	r.missingReports = 0
+	if r.task != nil {
+		c.noteStarted(r.task.stage.job)
+	}
 	if a.Checkpoint != "" && a.Checkpoint != r.checkpoint {
 		r.checkpoint = a.Checkpoint
 	}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -58,6 +59,8 @@
 	// and the workers.
 	hostIsolated func(host int, at Time) bool
 	failureRate  float64
+	// refuseStarts means that unhealthy workers refuse all starts.
+	refuseStarts bool
 	// dropForwardAnswers means that forwarded requests get no answer.
 	dropForwardAnswers bool
 	// baseLatency is the tail latency of serving tasks in milliseconds, interference
@@ -148,6 +151,7 @@
 			MinStoreLease: time.Second,
 		},
 	}
+	sim.debug = os.Getenv("SCHEDULER_DEBUG") != ""
 	sim.store.maxValue = 1 << 20
 	sim.store.log, sim.store.logRevisions = map[int64][]byte{}, map[int64]int64{}
 	sim.config = &Config{Version: 1, Services: map[string]*Service{"svc": {Name: "svc"}}, Queues: map[QueueName]*Queue{
--- a/scheduler/snapshot_test.go
+++ b/scheduler/snapshot_test.go
@@ -120,7 +120,7 @@
 				for _, member := range tasks {
 					c.createRun(member, c.workers["w00"], 1)
 				}
-				c.handleRunEnd(tasks[2].run, EndFailed, "")
+				c.handleEnd(c.workers["w00"], RunEnd{Task: tasks[2].id(), Run: 1, Kind: EndFailed})
 			},
 		},
 		"second run of a speculative task": {
@@ -220,7 +220,7 @@
 	if j.state.isTerminal() {
 		return b.String()
 	}
-	fmt.Fprintf(&b, " cancelled %v created %d", j.cancelled, j.created)
+	fmt.Fprintf(&b, " started %v cancelled %v created %d", j.started, j.cancelled, j.created)
 	for _, o := range j.occurrences {
 		for _, s := range o.stages {
 			fmt.Fprintf(&b, "\n  stage %d.%d: done %d, waiting %d, gang failures %d", o.index, s.index, s.done, s.waiting, s.gangFailures)
@@ -271,8 +271,8 @@
 }
 
 func (sim *simulation) checkRestoredJob(got, want *job) {
-	if want.cancelled && !got.cancelled || got.created < want.created {
-		sim.addViolation("job %s is restored with cancelled %v, created %d; want %v, %d", want.id, got.cancelled, got.created, want.cancelled, want.created)
+	if want.started && !got.started || want.cancelled && !got.cancelled || got.created < want.created {
+		sim.addViolation("job %s is restored with less than the whole log holds:\n%s\nwant\n%s", want.id, describeJob(got), describeJob(want))
 	}
 	for _, o := range got.occurrences {
 		wantOccurrence := want.occurrence(o.index)
