Order an uncertain pace of a run again until it is confirmed

Cause: a pace order without an answer was taken for one without effect. The owner believed in the pace before it, found it equal to the wanted one and sent nothing. An order in doubt that is carried out after a newer one, and the pace of a run of an earlier owner, were taken for known in the same way.

Change: runPace separates the ordered pace from its confirmation. An unconfirmed pace, also that of an inherited run, is ordered again after the worker's next report. After an order in doubt the pace is repeated every second for 15 s, and a pause as long as the task uses CPU beside a serving task that is over its target. Answers other than acceptance are logged.

--- a/scheduler/fakeworker_test.go
+++ b/scheduler/fakeworker_test.go
@@ -84,6 +84,11 @@
 	if _, ok := f.(Hold); ok {
 		late = false
 	}
+	lateBy := 2*time.Second + time.Duration(sim.rng.IntN(10000))*msec
+	if p, ok := f.(PaceTask); ok && sim.faults.paceOrder != nil {
+		answerLost, lateBy = sim.faults.paceOrder(p)
+		late = lateBy > 0
+	}
 	if fw == nil || !fw.up || sim.isPartitioned(fw) || sim.isIsolated(h) {
 		sim.at(700*msec, func() { answer(failed) })
 		return
@@ -92,7 +97,7 @@
 		sim.at(700*msec, func() { answer(failed) })
 		// A delayed order is lost when the worker restarts.
 		workerIncarnation := fw.incarnation
-		sim.at(2*time.Second+time.Duration(sim.rng.IntN(10000))*msec, func() {
+		sim.at(lateBy, func() {
 			if fw.up && fw.incarnation == workerIncarnation {
 				fw.handleOrder(sim, f, func(Result) {})
 			}
@@ -201,7 +206,7 @@
 		answered = true
 		e := HoldAnswered{Worker: h.Worker, Born: fw.info.Born, Clock: fw.clock(sim)}
 		for _, r := range fw.sortedRuns() {
-			e.Active = append(e.Active, ActiveRun{Task: r.id, Run: r.number, Percent: 1, Usage: fw.tailLatency(sim, r)})
+			e.Active = append(e.Active, ActiveRun{Task: r.id, Run: r.number, Percent: 1, Usage: fw.usage(sim, r)})
 		}
 		e.Ended = append(e.Ended, fw.ended...)
 		answer(e)
@@ -422,6 +427,16 @@
 	return e
 }
 
+// usage returns what a worker reports as the usage of a run: the tail latency of a serving
+// run, the CPU in use of any other.
+func (fw *fakeWorker) usage(sim *simulation, r *fakeRun) int64 {
+	step := &sim.jobs[r.id.Job].spec.Steps[r.id.Step]
+	if step.LatencyTarget > 0 {
+		return fw.tailLatency(sim, r)
+	}
+	return step.Need.MilliCPU * int64(fullPacePercent-r.throttlePercent) / fullPacePercent
+}
+
 // tailLatency returns the tail latency of a serving run in milliseconds: its base
 // value and the interference of the scavenging runs on the worker.
 func (fw *fakeWorker) tailLatency(sim *simulation, r *fakeRun) int64 {
--- a/scheduler/log.go
+++ b/scheduler/log.go
@@ -548,7 +548,8 @@
 		return
 	}
 	c.dropTaskRuns(t)
-	c.createRun(t, w, s.Run).state = runInherited
+	r := c.createRun(t, w, s.Run)
+	r.state, r.pace = runInherited, runPace{}
 }
 
 // dropTaskRuns drops the runs of a task that have ended according to a later record.
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -18,13 +18,53 @@
 	// tasks may delay its answer to a Hold. Serving tasks may miss their target
 	// for at most 4 s in a row.
 	mixedHoldWait = 500 * msec
+	// paceRepeatInterval is the interval between repeated orders of a pace. It covers
+	// the 100 ms after which an order takes effect, and the half second that a worker's
+	// figures describe.
+	paceRepeatInterval = 1 * time.Second
+	// lateOrderWindow is how long a worker may be late to carry out an order that it has
+	// not answered. Up to 12 s are expected.
+	lateOrderWindow = 15 * time.Second
 )
 
+// runPace is what the owner knows of the pace of a run.
+//
+// Invariant: a pace is certain only after an accepted answer, and only while no order in
+// doubt can be carried out after it. An uncertain pace is ordered again.
+type runPace struct {
+	// throttlePercent is the throttling that was ordered last: 0 is full speed, 100 is
+	// paused.
+	throttlePercent int
+	// confirmed means that the worker has accepted that order, or that the run started
+	// at full speed and no order was sent.
+	confirmed bool
+	// call is the PaceTask that is in flight, or 0. orderedAt is when the last one was
+	// sent.
+	call      CallID
+	orderedAt Time
+	// lateUntil is the time until which an order in doubt may be carried out.
+	lateUntil Time
+}
+
+// needsOrder reports whether a run has to be ordered to a throttling. disturbs means that
+// the run works and disturbs a serving task.
+func (p *runPace) needsOrder(throttlePercent int, disturbs bool, now Time) bool {
+	switch {
+	case p.call != 0:
+		return false
+	case !p.confirmed || p.throttlePercent != throttlePercent:
+		return true
+	case now.Sub(p.orderedAt) < paceRepeatInterval:
+		return false
+	}
+	return now < p.lateUntil || disturbs && throttlePercent == fullPacePercent
+}
+
 // adjustPace pauses the scavenging tasks of a worker when one of its serving tasks
 // exceeds its latency target, and speeds them up stepwise afterwards.
 func (c *cell) adjustPace(w *worker, active []ActiveRun) {
 	serving, near, over := false, false, false
-	var scavenging []*run
+	var scavenging []pacedRun
 	for i := range active {
 		r := w.runs[runKey{active[i].Task, active[i].Run}]
 		if r == nil || r.task == nil || r.state != runActive {
@@ -32,7 +72,7 @@
 		}
 		step := r.task.stage.step
 		if step.Scavenging {
-			scavenging = append(scavenging, r)
+			scavenging = append(scavenging, pacedRun{r, active[i].Usage > 0})
 		}
 		if target := step.LatencyTarget.Milliseconds(); target > 0 {
 			serving = true
@@ -51,26 +91,35 @@
 	case w.throttlePercent > 0 && c.now.Sub(w.throttledAt) >= paceRecoveryDelay:
 		w.throttlePercent, w.throttledAt = max(0, w.throttlePercent-paceStepPercent), c.now
 	}
-	for _, r := range scavenging {
-		if r.throttlePercent != w.throttlePercent && r.paceCall == 0 && w.hasOrderSlot() && c.mayExtendWorkerLeases() {
-			c.sendPace(r, w.throttlePercent)
+	for _, s := range scavenging {
+		// A pause that has arrived leaves no CPU in use.
+		if s.run.pace.needsOrder(w.throttlePercent, over && s.usesCPU, c.now) && w.hasOrderSlot() && c.mayExtendWorkerLeases() {
+			c.sendPace(s.run, w.throttlePercent)
 		}
 	}
 }
 
+// pacedRun is a scavenging run in a worker's report.
+type pacedRun struct {
+	run     *run
+	usesCPU bool
+}
+
 // sendPace orders a worker to throttle a run.
 func (c *cell) sendPace(r *run, throttlePercent int) {
 	w := r.worker
-	r.paceCall = c.order(w, PaceTask{
+	c.logDecision(Decision{Kind: "pace", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
+		Fields: []Field{{"percent", int64(fullPacePercent - throttlePercent)}, {"percent_before", int64(fullPacePercent - r.pace.throttlePercent)},
+			{"confirmed", boolField(r.pace.confirmed)}, {"order_in_doubt", boolField(c.now < r.pace.lateUntil)}}})
+	r.pace.throttlePercent, r.pace.confirmed, r.pace.orderedAt = throttlePercent, false, c.now
+	r.pace.call = c.order(w, PaceTask{
 		Worker: w.info.ID, Address: w.info.Address, Task: r.id, Run: r.number, Percent: fullPacePercent - throttlePercent,
 		Token: c.generation, Via: c.agentFor(w),
 	})
-	c.logDecision(Decision{Kind: "pace", Outcome: "ordered", Job: r.id.Job, Task: r.id.String(), Worker: w.info.ID, Run: r.number,
-		Fields: []Field{{"percent", int64(fullPacePercent - throttlePercent)}}})
 }
 
-// handlePaceAnswered handles the answer to a PaceTask. One that failed or is in
-// doubt is sent again after the worker's next report.
+// handlePaceAnswered handles the answer to a PaceTask. One that failed or is in doubt is
+// sent again after the worker's next report.
 func (c *cell) handlePaceAnswered(id CallID, e PaceAnswered) {
 	w := c.workers[e.Worker]
 	if w == nil {
@@ -81,11 +130,17 @@
 		return
 	}
 	r := w.runs[runKey{e.Task, e.Run}]
-	if r == nil || id != r.paceCall {
+	if r == nil || id != r.pace.call {
+		return
+	}
+	r.pace.call = 0
+	r.pace.confirmed = e.Result == OrderAccepted
+	if r.pace.confirmed {
 		return
 	}
-	r.paceCall = 0
-	if e.Result == OrderAccepted {
-		r.throttlePercent = fullPacePercent - e.Percent
+	if e.Result == OrderInDoubt {
+		r.pace.lateUntil = r.pace.orderedAt.Add(lateOrderWindow)
 	}
+	c.logDecision(Decision{Kind: "pace", Outcome: e.Result.String(), Job: e.Task.Job, Task: e.Task.String(), Worker: e.Worker, Run: e.Run,
+		Fields: []Field{{"percent", int64(e.Percent)}, {"took_ms", c.now.Sub(r.pace.orderedAt).Milliseconds()}}})
 }
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -74,7 +74,7 @@
 	s := t.stage
 	r := &run{
 		task: t, id: t.id(), number: number, worker: w, charge: s.step.charge(),
-		state: runPlanned, orderedAt: c.now, expectedDuration: c.expectedDuration(s),
+		state: runPlanned, orderedAt: c.now, expectedDuration: c.expectedDuration(s), pace: runPace{confirmed: true},
 	}
 	if t.run == nil {
 		t.run = r
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -66,6 +66,9 @@
 	// baseLatency is the tail latency of serving tasks in milliseconds, interference
 	// the latency that each scavenging task on the same worker adds.
 	baseLatency, interference int64
+	// paceOrder, if set, returns the fate of a PaceTask: whether its answer is lost, and
+	// by how much the worker is late to carry it out.
+	paceOrder func(PaceTask) (lost bool, late time.Duration)
 	// adviceFails reports whether calls for advice through a host fail immediately.
 	adviceFails func(host string) bool
 	// adviceAllows reports whether a worker may run a step. adviceGood decides if it
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -76,10 +76,7 @@
 	checkpoint     string
 	// expectedDuration is the task's predicted duration at the start.
 	expectedDuration time.Duration
-	// throttlePercent is by how much the run is throttled: 0 is full speed, 100
-	// is paused. paceCall is the PaceTask that is in flight, or 0.
-	throttlePercent int
-	paceCall        CallID
+	pace             runPace
 }
 
 // worker is the owner's view of a worker.
@@ -257,6 +254,7 @@
 			r.state, r.mustStop = runInDoubt, true
 		}
 		r.stopSent, r.stopConfirmed, r.stopCall = false, false, 0
+		r.pace = runPace{}
 	}
 	w.incarnation++
 	w.info.Born = born
