--- a/scheduler/jobtable.go
+++ b/scheduler/jobtable.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // job is an accepted job, or one whose acceptance is being written.
 type job struct {
@@ -173,102 +170,6 @@
 	return o.stages[id.Step].tasks[id.Index]
 }
 
-// records returns the records of a job for a snapshot. A job that has ended in memory is
-// recorded as ended although its final record may still be pending: its tasks are no
-// longer in memory, so anything else would restore it as a job that has not begun.
-func (j *job) records(policy *Queue) []Record {
-	if !j.durable {
-		return nil
-	}
-	if j.state.isTerminal() {
-		return []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Final: j.state, FinalAt: j.endedWall}}
-	}
-	records := []Record{{Job: j.id, Queue: j.queue, Accepted: j.acceptedWall, Spec: j.spec, Policy: policy, Cancelled: j.cancelled, Started: j.started}}
-	records = append(records, j.createdRecords()...)
-	var starts []StartRecord
-	var ends []EndRecord
-	for _, o := range j.occurrences {
-		for _, s := range o.stages {
-			for _, run := range syntheticFailedRuns(s.gangFailures, s.failedRun) {
-				ends = append(ends, EndRecord{Occurrence: o.index, Step: s.index, Index: s.endedMember(s.failedRun), Run: run, Kind: EndFailed})
-			}
-			for _, t := range s.tasks {
-				ends = append(ends, t.endRecords()...)
-				for _, r := range t.runs() {
-					starts = append(starts, StartRecord{o.index, s.index, t.index, r.number, r.worker.info.ID})
-				}
-			}
-		}
-	}
-	for chunk := range slices.Chunk(starts, maxRunsPerRecord) {
-		records = append(records, Record{Job: j.id, Starts: chunk})
-	}
-	for chunk := range slices.Chunk(ends, maxRunsPerRecord) {
-		records = append(records, Record{Job: j.id, Ends: chunk})
-	}
-	return records
-}
-
-// endedMember returns the index of a member of a gang whose run with a number has ended.
-// An end that a snapshot holds for another member would end that member's current run.
-func (s *stage) endedMember(number int64) int {
-	return max(0, slices.IndexFunc(s.tasks, func(t *task) bool { return t.run == nil || t.run.number > number }))
-}
-
-// createdRecords returns the records of a repeated job that say which of its occurrences
-// have been created and are not complete.
-func (j *job) createdRecords() []Record {
-	if j.spec.Repeat == 0 || j.created == 0 {
-		return nil
-	}
-	records := []Record{{Job: j.id, Created: j.created}}
-	open := make([]int, 0, len(j.occurrences))
-	for _, o := range j.occurrences {
-		open = append(open, o.index)
-	}
-	for chunk := range slices.Chunk(open, maxRunsPerRecord) {
-		records = append(records, Record{Job: j.id, Created: j.created, Open: chunk})
-	}
-	return records
-}
-
-// syntheticFailedRuns returns n increasing run numbers that end with last. They stand
-// for n failed runs, of which only the last number is known.
-func syntheticFailedRuns(n int, last int64) []int64 {
-	runs := make([]int64, n)
-	for i := range runs {
-		runs[i] = last - int64(n-1-i)
-	}
-	return runs
-}
-
-// endRecords returns the end records that represent the state of a task in a snapshot.
-func (t *task) endRecords() []EndRecord {
-	base := EndRecord{Occurrence: t.stage.occ.index, Step: t.stage.index, Index: t.index}
-	var ends []EndRecord
-	if !t.stage.step.Gang {
-		for _, run := range syntheticFailedRuns(t.failures, t.failedRun) {
-			e := base
-			e.Run, e.Kind = run, EndFailed
-			ends = append(ends, e)
-		}
-	}
-	if t.state == taskDone || t.checkpoint != "" {
-		e := base
-		e.Run, e.Kind, e.Checkpoint = t.lastRun, EndStopped, t.checkpoint
-		if t.run != nil {
-			// The checkpoint was saved by an earlier run. The end must not apply to the
-			// current run, which is still active.
-			e.Run = t.run.number - 1
-		}
-		if t.state == taskDone {
-			e.Kind, e.Checkpoint = EndDone, ""
-		}
-		ends = append(ends, e)
-	}
-	return ends
-}
-
 // jobOrder returns the jobs in the order of acceptance.
 func (c *cell) jobOrder() []*job { return c.jobList }
 
