--- a/core/compaction.go
+++ b/core/compaction.go
@@ -112,7 +112,9 @@
 	return out
 }
 
-// liveRecords returns the records that a successor needs to restore a job.
+// liveRecords returns the records that a successor needs to restore a job. The assignment
+// of a non-idempotent task that has ended is among them: its worker may restart and lose
+// its ledger, and a successor that does not know the assignment would start it again.
 func (r *Reducer) liveRecords(j *job) []Record {
 	spec := j.spec
 	first := Record{Kind: RecordAccepted, Job: spec.ID, Spec: &spec}
@@ -127,7 +129,7 @@
 	out := []Record{first}
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if !j.kind.Idempotent && t.holdsCapacity() {
+		if !j.kind.Idempotent && (t.holdsCapacity() || t.state == taskDone && t.endedOn != "") {
 			out = append(out, r.assignedRecord(j, t))
 		}
 	}
--- a/core/job.go
+++ b/core/job.go
@@ -103,6 +103,8 @@
 	worker         WorkerID
 	// incarnation is the worker's incarnation when the task was assigned.
 	incarnation uint64
+	// endedOn is the worker that reported the success of the current attempt, or empty.
+	endedOn WorkerID
 	// allocated is the capacity that counts as assigned on worker.
 	allocated Resources
 	// sentAt is when the start was last sent. startUnresolved is set while an
--- a/core/lifecycle.go
+++ b/core/lifecycle.go
@@ -253,7 +253,7 @@
 		r.fleet.assign(w, j, t, rep.Requested)
 		r.onTaskStarted(j, t)
 	case ReportedSucceeded:
-		t.state = taskDone
+		t.state, t.endedOn, t.incarnation = taskDone, w.id, w.incarnation
 		j.result = rep.Result
 		r.finishIfComplete(j)
 	case ReportedFailed:
@@ -276,7 +276,7 @@
 	switch rep.State {
 	case ReportedSucceeded:
 		r.recordSuccess(w)
-		t.state = taskDone
+		t.state, t.endedOn = taskDone, w.id
 		j.result = rep.Result
 		r.finishIfComplete(j)
 	case ReportedFailed:
--- a/core/schedule.go
+++ b/core/schedule.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// maxPlacementsPerStep bounds the work of one step so that events queued behind
@@ -166,7 +169,7 @@
 // assignedRecord returns the journal record of a task's assignment.
 func (r *Reducer) assignedRecord(j *job, t *task) Record {
 	return Record{
-		Kind: RecordAssigned, Job: j.spec.ID, Task: j.ref(t), Worker: t.worker,
+		Kind: RecordAssigned, Job: j.spec.ID, Task: j.ref(t), Worker: cmp.Or(t.worker, t.endedOn),
 		Incarnation: t.incarnation, Checkpoint: t.checkpoint, At: r.now,
 	}
 }
