--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -22,8 +22,8 @@
 	// the 100 ms after which an order takes effect, and the half second that a worker's
 	// figures describe.
 	paceRepeatInterval = 1 * time.Second
-	// lateOrderWindow is how long a worker may be late to carry out an order that it has
-	// not answered. Up to 12 s are expected.
+	// lateOrderWindow is how long a pace is repeated after an order in doubt. Workers
+	// carry out orders that they have not answered up to 12 s late.
 	lateOrderWindow = 15 * time.Second
 )
 
@@ -46,8 +46,8 @@
 	lateUntil Time
 }
 
-// needsOrder reports whether a run has to be ordered to a throttling. disturbs means that
-// the run works and disturbs a serving task.
+// needsOrder reports whether the throttling of a run has to be ordered. disturbs means
+// that the run works while a serving task beside it is over its target.
 func (p *runPace) needsOrder(throttlePercent int, disturbs bool, now Time) bool {
 	switch {
 	case p.call != 0:
